--- a/include/hickoryshore/base/ids.h
+++ b/include/hickoryshore/base/ids.h
@@ -39,6 +39,13 @@
 /// One replica of a shard: its address "ip:port".
 using ReplicaId = NameId<struct ReplicaTag>;
 
+/// A set of replicas that answer alike: one shard of an index, or an index without shards.
+using ServiceId = NameId<struct ServiceTag>;
+/// A rule that assigns callers' requests to services.
+using RouteId = NameId<struct RouteTag>;
+/// One start of one replica at one address; never used again for another one.
+using EndpointId = NumberId<struct EndpointTag>;
+
 /// A numbered state of a whole index; a higher number is newer. Zero means "none".
 using SnapshotId = NumberId<struct SnapshotTag>;
 /// One sub-request of a query, unique within the VM that accepted the query.
--- /dev/null
+++ b/include/hickoryshore/dispatch/endpoint_table.h
@@ -0,0 +1,146 @@
+// What this VM believes of the replicas that it calls directly, which one it calls next, and how many extra attempts a
+// service may get.
+//
+// Events and the time go in; nothing here reads a clock or a socket. For example:
+//
+//     EndpointTable table(seed);
+//     table.setReplicas(now, replicas);
+//     const auto endpoint = table.choose(now, service, latency, tried);
+//     table.countSent(now, *endpoint);
+//     table.countEnd(now, *endpoint, end);
+#pragma once
+
+#include "hickoryshore/base/ids.h"
+#include "hickoryshore/dispatch/route_latency.h"
+#include "hickoryshore/result/result_code.h"
+#include "hickoryshore/shard/replica_health.h"
+#include "hickoryshore/shard/token_budget.h"
+
+#include <cstdint>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace hickoryshore {
+
+/// A replica as this VM may call it.
+struct DirectReplica
+{
+    EndpointId endpoint;
+    ServiceId service;
+    Distance distance = Distance::SameRegion;
+    bool sameDataCentre = true;
+    int slots = 1;
+    bool draining = false;
+    Duration warmUpLeft{0};
+};
+
+/// Bounds of extra attempts, over the whole fleet.
+struct RepeatBudget
+{
+    double ratio = 0.2; ///< Extra attempts for each request for a service.
+    double slack = 0.0; ///< Further ones in any window, by all VMs together.
+};
+
+/// What an attempt came to.
+struct AttemptEnd
+{
+    ResultCode code = ResultCode::Ok;
+    bool sent = true; ///< Whether the replica can have received it.
+    Duration latency{0}; ///< From sending to the end.
+    std::optional<int> waiting; ///< Requests in the replica's queue, where it told.
+};
+
+/// A belief about a replica that has changed, for the log.
+struct EndpointChange
+{
+    EndpointId endpoint;
+    bool ejected = false; ///< Or in use again.
+    int failures = 0; ///< In a row.
+};
+
+/// The replicas of all services. Not thread-safe: one thread drives it.
+class EndpointTable
+{
+public:
+    explicit EndpointTable(std::uint64_t seed);
+
+    /// Takes the whole list of replicas. What is known of those that stay is kept.
+    void setReplicas(Instant now, std::span<const DirectReplica> replicas);
+
+    /// Sets the fleet's budget of extra attempts, and by how many VMs it is shared.
+    void setRepeatBudget(const RepeatBudget &budget, int sharers);
+
+    /// The replica to call next, none of those excluded; nothing where there is none.
+    std::optional<EndpointId> choose(Instant now,
+                                     const ServiceId &service,
+                                     const RouteLatency &latency,
+                                     std::span<const EndpointId> excluded);
+
+    /// Whether the service has a replica that takes new work.
+    bool isServed(const ServiceId &service) const;
+
+    /// Counts a caller's request for the service: it earns a part of an extra attempt.
+    void countRequest(const ServiceId &service);
+
+    /// Takes an extra attempt out of the service's budget; returns false where there is none left. Hedges leave a part
+    /// for retries.
+    bool takeRepeat(const ServiceId &service, bool isHedge);
+
+    /// Gives an extra attempt back that did not reach a replica.
+    void giveBackRepeat(const ServiceId &service);
+
+    void countSent(Instant now, EndpointId endpoint);
+
+    /// Takes the end of an attempt. Returns what it changed about the replica, if that is worth a log line.
+    std::optional<EndpointChange> countEnd(Instant now,
+                                           EndpointId endpoint,
+                                           const RouteLatency &latency,
+                                           const AttemptEnd &end);
+
+    /// An attempt was given up without an answer; `late` says that it had been waited for long enough.
+    void countDropped(Instant now, EndpointId endpoint, bool late);
+
+    Distance distanceOf(EndpointId endpoint) const;
+
+    std::size_t size() const;
+
+private:
+    struct Endpoint
+    {
+        DirectReplica replica;
+        double slowness = 1.0; ///< Its latencies as a multiple of the route's typical ones.
+        Instant slownessAt;
+        int inFlight = 0;
+        Instant quietSince; ///< Since then attempts are in flight, and none has ended.
+        Instant warmUntil; ///< End of the time in which it is slow after its start.
+        int waiting = 0; ///< Its queue, as it told at waitingAt.
+        Instant waitingAt;
+        ReplicaHealth health;
+        bool removed = false; ///< No longer listed; attempts may still be in flight.
+    };
+
+    struct Service
+    {
+        std::vector<EndpointId> endpoints;
+        TokenBudget repeats;
+    };
+
+    Service &serviceOf(const ServiceId &service);
+    double costOf(const Endpoint &endpoint, Instant now, const RouteLatency &latency);
+    static double slownessNow(const Endpoint &endpoint, Instant now);
+    double repeatReserve() const;
+    double repeatEarning() const;
+    void forgetRemoved(EndpointId endpoint);
+
+    std::unordered_map<EndpointId, Endpoint> endpoints;
+    std::unordered_map<ServiceId, Service> services;
+    RepeatBudget budget;
+    int budgetSharers = 1;
+    std::minstd_rand random;
+};
+
+} // namespace hickoryshore
--- /dev/null
+++ b/include/hickoryshore/entry/entry_settings.h
@@ -0,0 +1,33 @@
+// The settings of an entry VM that forwards HTTP requests.
+#pragma once
+
+#include "hickoryshore/base/ids.h"
+#include "hickoryshore/base/time.h"
+#include "hickoryshore/dispatch/endpoint_table.h"
+
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace hickoryshore {
+
+/// Where the VM is, where it listens, and the bounds that it keeps.
+struct EntrySettings
+{
+    VmId vm;
+    DataCentreId dataCentre;
+    RegionId region;
+    std::unordered_map<DataCentreId, RegionId> regions; ///< Of all data centres.
+    std::string address; ///< IP number.
+    std::string callerListen; ///< "ip:port" for requests.
+    std::string entryPointListen; ///< "ip:port" for callers that ask for entry points.
+    std::string readinessListen; ///< "ip:port" for readiness checks.
+    std::string peerListen; ///< "ip:port" for other VMs and for metrics.
+    int membershipPort = 0; ///< UDP.
+    std::vector<std::string> seeds; ///< IP numbers of some VMs; those that are gone do no harm.
+    Duration gracePeriod{std::chrono::seconds(6)}; ///< From the order to leave until the process is killed.
+    RepeatBudget repeats;
+    std::string logLevel = "info";
+};
+
+} // namespace hickoryshore
--- a/include/hickoryshore/result/result_code.h
+++ b/include/hickoryshore/result/result_code.h
@@ -37,6 +37,9 @@
     UnknownCaller = 106,
     UnknownRequest = 107,
     RequestIdReused = 108,
+    UnknownRoute = 109,
+    HeaderTooLarge = 110,
+    RequestIncomplete = 111,
 
     WouldMissDeadline = 200,
     QueueFull = 201,
--- a/include/hickoryshore/shard/token_budget.h
+++ b/include/hickoryshore/shard/token_budget.h
@@ -27,6 +27,12 @@
     /// Changes the earning; what was saved up stays.
     void setEarning(double earnedPerSubRequest);
 
+    /// Changes what may be saved up; tokens beyond it are lost.
+    void setReserve(double reserve);
+
+    /// Gives back a token that was not needed.
+    void giveBack();
+
 private:
     double earnedPerSubRequest;
     double reserve;
--- a/include/hickoryshore/upstream/upstream_pool.h
+++ b/include/hickoryshore/upstream/upstream_pool.h
@@ -3,12 +3,13 @@
 // The number of connections to a replica is bounded. A connection that failed or timed out is closed and never used
 // again; the idle ones opened before it went silent are closed too, since what made one silent may have done it to all.
 //
-//     UpstreamPool pool(loop, {.connectionsPerReplica = 6});
+//     UpstreamPool pool(loop, {.connectionsPerServer = 6});
 //     pool.call(replica, request, timeout, true, [](const UpstreamReply &reply) { ... });
 #pragma once
 
 #include "hickoryshore/base/time.h"
 #include "hickoryshore/eventloop/event_loop.h"
+#include "hickoryshore/upstream/http_connections.h"
 #include "hickoryshore/upstream/upstream_protocol.h"
 
 #include <functional>
@@ -17,23 +18,8 @@
 
 namespace hickoryshore {
 
-struct UpstreamPoolSettings
-{
-    int connectionsPerReplica = 6; ///< Upper bound for each replica until limitConnections() sets another.
-    Duration idleLimit{std::chrono::seconds(20)}; ///< An idle connection is closed after this time.
-    Duration provenFor{std::chrono::milliseconds(500)}; ///< A connection is proven alive this long after a reply.
-    bool warmSpare = false; ///< One connection more is opened when the last idle one is taken into use.
-};
-
-/// Counts over the life of the pool.
-struct UpstreamPoolCounts
-{
-    std::uint64_t opened = 0;
-    std::uint64_t failedToOpen = 0;
-    std::uint64_t closedAsSilent = 0;
-    std::uint64_t closedAsSuspect = 0;
-    int open = 0;
-};
+using UpstreamPoolSettings = HttpConnectionSettings;
+using UpstreamPoolCounts = HttpConnectionCounts;
 
 /// Called on the loop's thread with the reply to one call, never from within call().
 using UpstreamCompletion = std::function<void(const UpstreamReply &)>;
@@ -41,9 +27,6 @@
 /// Called on the loop's thread with what the health endpoint told, or nullptr where it gave no answer.
 using HealthCompletion = std::function<void(const UpstreamReport *)>;
 
-struct UpstreamExchange;
-class UpstreamConnections;
-
 /// A pool of connections, keyed by replica.
 class UpstreamPool
 {
@@ -82,10 +65,10 @@
 private:
     struct OwnLoop;
 
-    void start(const ReplicaId &replica, UpstreamExchange exchange);
+    void start(const ReplicaId &replica, HttpExchange exchange);
 
     std::unique_ptr<OwnLoop> ownLoop; ///< Where no loop was given.
-    std::shared_ptr<UpstreamConnections> connections;
+    std::shared_ptr<HttpConnections> connections;
 };
 
 } // namespace hickoryshore
--- /dev/null
+++ b/src/hickoryshore/dispatch/endpoint_table.cpp
@@ -0,0 +1,258 @@
+#include "hickoryshore/dispatch/endpoint_table.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace hickoryshore {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Weight of one latency in a replica's slowness.
+constexpr double slownessWeight = 0.3;
+/// A latency counts as at most so many times the typical one.
+constexpr double mostSlowness = 20.0;
+/// Without news the slowness goes half of the way back to one in this time, so that a replica is tried again.
+constexpr Duration slownessHalfLife = 3s;
+/// A replica that has just started takes this much longer.
+constexpr double coldSlowness = 1.6;
+/// Added to the cost for each attempt in flight or in the queue, for each slot.
+constexpr double loadCost = 0.7;
+/// For how long a replica's report of its queue counts.
+constexpr Duration reportLifetime = 150ms;
+/// Added to the cost, in microseconds, of a replica in another data centre of the region: the way there.
+constexpr double otherDataCentreCost = 1000.0;
+/// The same for one that is taken out after failures, and one that has just refused work.
+constexpr double ejectedCost = 1e7;
+constexpr double backoffCost = 5e4;
+/// How long a replica is left alone that answered for another one.
+constexpr Duration refusedElsewhere = 5s;
+/// Costs are compared with this much noise, so that the VMs do not all choose the same of two equal replicas.
+constexpr double costNoise = 0.1;
+/// Parts of the fleet's budget that are handed out: the rest covers VMs that start or end within a window.
+constexpr double sharedSlack = 0.5;
+constexpr double sharedRatio = 0.85;
+/// Smallest reserve of which hedges leave one attempt for retries.
+constexpr double reserveWithKept = 3.0;
+
+} // namespace
+
+EndpointTable::EndpointTable(std::uint64_t seed)
+    : random(static_cast<std::minstd_rand::result_type>(seed % (std::minstd_rand::modulus - 1) + 1))
+{ }
+
+double EndpointTable::repeatReserve() const
+{
+    return sharedSlack * this->budget.slack / std::max(1, this->budgetSharers);
+}
+
+double EndpointTable::repeatEarning() const
+{
+    return sharedRatio * this->budget.ratio;
+}
+
+EndpointTable::Service &EndpointTable::serviceOf(const ServiceId &service)
+{
+    const auto found = this->services.find(service);
+    if (found != this->services.end()) {
+        return found->second;
+    }
+    return this->services
+        .emplace(service,
+                 Service{.endpoints = {}, .repeats = TokenBudget(this->repeatEarning(), this->repeatReserve())})
+        .first->second;
+}
+
+void EndpointTable::setReplicas(Instant now, std::span<const DirectReplica> replicas)
+{
+    for (auto &[id, service] : this->services) {
+        service.endpoints.clear();
+    }
+    for (auto &[id, endpoint] : this->endpoints) {
+        endpoint.removed = true;
+    }
+    for (const DirectReplica &replica : replicas) {
+        Endpoint &endpoint = this->endpoints[replica.endpoint];
+        endpoint.replica = replica;
+        endpoint.removed = false;
+        endpoint.warmUntil = replica.warmUpLeft > Duration(0) ? now + replica.warmUpLeft : endpoint.warmUntil;
+        if (!replica.draining) {
+            this->serviceOf(replica.service).endpoints.push_back(replica.endpoint);
+        }
+    }
+    std::erase_if(this->endpoints, [](const auto &entry) {
+        return entry.second.removed && entry.second.inFlight == 0;
+    });
+}
+
+void EndpointTable::setRepeatBudget(const RepeatBudget &changed, int sharers)
+{
+    this->budget = changed;
+    this->budgetSharers = sharers;
+    for (auto &[id, service] : this->services) {
+        service.repeats.setEarning(this->repeatEarning());
+        service.repeats.setReserve(this->repeatReserve());
+    }
+}
+
+double EndpointTable::slownessNow(const Endpoint &endpoint, Instant now)
+{
+    const auto halves = static_cast<double>((now - endpoint.slownessAt).count())
+        / static_cast<double>(Duration(slownessHalfLife).count());
+    return 1.0 + (endpoint.slowness - 1.0) * std::exp2(-halves);
+}
+
+/// The expected latency in microseconds. A replica that has been quiet for longer than a hedge is waited for has
+/// probably paused, and is expected to stay so for as long again.
+double EndpointTable::costOf(const Endpoint &endpoint, Instant now, const RouteLatency &latency)
+{
+    const Distance distance = endpoint.replica.distance;
+    const auto typical = static_cast<double>(latency.typical(distance).count());
+    double cost = typical * slownessNow(endpoint, now) * (endpoint.warmUntil > now ? coldSlowness : 1.0);
+    const int queued = now - endpoint.waitingAt < reportLifetime ? endpoint.waiting : 0;
+    cost *= 1.0 + loadCost * (endpoint.inFlight + queued) / std::max(1, endpoint.replica.slots);
+    if (endpoint.inFlight > 0) {
+        const Duration quiet = now - endpoint.quietSince;
+        cost += quiet > latency.hedgeDelay(distance) ? static_cast<double>(quiet.count()) : 0.0;
+    }
+    cost += endpoint.replica.sameDataCentre ? 0.0 : otherDataCentreCost;
+    cost += endpoint.health.isEjected(now) ? ejectedCost : 0.0;
+    cost += endpoint.health.isBackingOff(now) ? backoffCost : 0.0;
+    std::uniform_real_distribution<double> noise(1.0, 1.0 + costNoise);
+    return cost * noise(this->random);
+}
+
+std::optional<EndpointId> EndpointTable::choose(Instant now,
+                                                const ServiceId &service,
+                                                const RouteLatency &latency,
+                                                std::span<const EndpointId> excluded)
+{
+    const auto found = this->services.find(service);
+    if (found == this->services.end()) {
+        return std::nullopt;
+    }
+    std::optional<EndpointId> best;
+    double bestCost = std::numeric_limits<double>::infinity();
+    for (const EndpointId id : found->second.endpoints) {
+        if (std::ranges::find(excluded, id) != excluded.end()) {
+            continue;
+        }
+        const double cost = this->costOf(this->endpoints.at(id), now, latency);
+        if (cost < bestCost) {
+            best = id;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+bool EndpointTable::isServed(const ServiceId &service) const
+{
+    const auto found = this->services.find(service);
+    return found != this->services.end() && !found->second.endpoints.empty();
+}
+
+void EndpointTable::countRequest(const ServiceId &service)
+{
+    this->serviceOf(service).repeats.earn();
+}
+
+bool EndpointTable::takeRepeat(const ServiceId &service, bool isHedge)
+{
+    const double reserve = this->repeatReserve();
+    return this->serviceOf(service).repeats.trySpend(isHedge && reserve >= reserveWithKept ? 1.0 / reserve : 0.0);
+}
+
+void EndpointTable::giveBackRepeat(const ServiceId &service)
+{
+    this->serviceOf(service).repeats.giveBack();
+}
+
+void EndpointTable::countSent(Instant now, EndpointId id)
+{
+    Endpoint &endpoint = this->endpoints.at(id);
+    endpoint.quietSince = endpoint.inFlight == 0 ? now : endpoint.quietSince;
+    ++endpoint.inFlight;
+}
+
+std::optional<EndpointChange> EndpointTable::countEnd(Instant now,
+                                                      EndpointId id,
+                                                      const RouteLatency &latency,
+                                                      const AttemptEnd &end)
+{
+    const auto found = this->endpoints.find(id);
+    if (found == this->endpoints.end()) {
+        return std::nullopt;
+    }
+    Endpoint &endpoint = found->second;
+    --endpoint.inFlight;
+    endpoint.quietSince = now;
+    std::optional<EndpointChange> change;
+    const bool wasEjected = endpoint.health.isEjected(now);
+    if (end.waiting.has_value()) {
+        endpoint.waiting = *end.waiting;
+        endpoint.waitingAt = now;
+    }
+    if (end.code == ResultCode::Ok) {
+        const auto typical = static_cast<double>(std::max(latency.typical(endpoint.replica.distance), Duration(1)).count());
+        const double ratio = std::min(static_cast<double>(end.latency.count()) / typical, mostSlowness);
+        const double before = slownessNow(endpoint, now);
+        endpoint.slowness = before + slownessWeight * (ratio - before);
+        endpoint.slownessAt = now;
+        endpoint.health.countSuccess(now);
+        if (wasEjected) {
+            change = {.endpoint = id, .ejected = false};
+        }
+    } else if (end.code == ResultCode::UpstreamShed) {
+        std::uniform_real_distribution<double> share(0.0, 1.0);
+        endpoint.health.countShed(now, share(this->random));
+    } else if (end.code == ResultCode::UpstreamDraining) {
+        // It is another replica, or one that leaves: nothing more goes there until the registration tells.
+        endpoint.health.ejectedUntil = now + refusedElsewhere;
+        change = {.endpoint = id, .ejected = true};
+    } else if (endpoint.health.countFailure(now)) {
+        change = {.endpoint = id, .ejected = true, .failures = endpoint.health.consecutiveFailures};
+    }
+    this->forgetRemoved(id);
+    return change;
+}
+
+/// A latency that was cut off late was long, whatever it would have been.
+void EndpointTable::countDropped(Instant now, EndpointId id, bool late)
+{
+    const auto found = this->endpoints.find(id);
+    if (found == this->endpoints.end()) {
+        return;
+    }
+    Endpoint &endpoint = found->second;
+    --endpoint.inFlight;
+    if (late) {
+        const double before = slownessNow(endpoint, now);
+        endpoint.slowness = before + slownessWeight * (mostSlowness - before);
+        endpoint.slownessAt = now;
+    }
+    this->forgetRemoved(id);
+}
+
+void EndpointTable::forgetRemoved(EndpointId id)
+{
+    const Endpoint &endpoint = this->endpoints.at(id);
+    if (endpoint.removed && endpoint.inFlight == 0) {
+        this->endpoints.erase(id);
+    }
+}
+
+Distance EndpointTable::distanceOf(EndpointId id) const
+{
+    const auto found = this->endpoints.find(id);
+    return found == this->endpoints.end() ? Distance::SameRegion : found->second.replica.distance;
+}
+
+std::size_t EndpointTable::size() const
+{
+    return this->endpoints.size();
+}
+
+} // namespace hickoryshore
--- /dev/null
+++ b/src/hickoryshore/dispatch/record_merge.cpp
@@ -0,0 +1,29 @@
+#include "hickoryshore/dispatch/record_merge.h"
+
+#include <algorithm>
+#include <functional>
+#include <vector>
+
+namespace hickoryshore {
+
+std::string greatestRecords(std::span<const std::string_view> parts, std::size_t recordBytes, std::size_t count)
+{
+    std::vector<std::string_view> records;
+    for (const std::string_view part : parts) {
+        for (std::size_t at = 0; at + recordBytes <= part.size(); at += recordBytes) {
+            records.push_back(part.substr(at, recordBytes));
+        }
+    }
+    const std::size_t kept = std::min(count, records.size());
+    // string_view compares as unsigned bytes.
+    std::partial_sort(
+        records.begin(), records.begin() + static_cast<std::ptrdiff_t>(kept), records.end(), std::greater<>());
+    std::string merged;
+    merged.reserve(kept * recordBytes);
+    for (std::size_t number = 0; number < kept; ++number) {
+        merged.append(records[number]);
+    }
+    return merged;
+}
+
+} // namespace hickoryshore
--- /dev/null
+++ b/src/hickoryshore/dispatch/request_run.cpp
@@ -0,0 +1,314 @@
+#include "hickoryshore/dispatch/request_run.h"
+
+#include "hickoryshore/shard/retry_policy.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace hickoryshore {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A part whose replicas all refused work is sent again after this time: about one service time.
+constexpr Duration refusalPause = 25ms;
+/// When a caller may come back whose request no replica could take.
+constexpr Duration comeBackAfter = 200ms;
+/// Hedges of one part.
+constexpr std::size_t mostHedges = 2;
+/// A hedge that found no budget or no replica is tried again after this time.
+constexpr Duration hedgePause = 15ms;
+
+} // namespace
+
+RequestRun::RequestRun(RunSettings settings,
+                       EndpointTable &table,
+                       const RouteLatency &latency,
+                       std::uint64_t &lastAttempt)
+    : settings(std::move(settings)),
+      table(&table),
+      latency(&latency),
+      lastAttempt(&lastAttempt),
+      parts(this->settings.services.size())
+{ }
+
+std::size_t RequestRun::needed() const
+{
+    const double share = this->settings.merged ? this->settings.minimumCoverage : 1.0;
+    const auto least = static_cast<std::size_t>(std::ceil(share * static_cast<double>(this->parts.size()) - 1e-9));
+    return std::max<std::size_t>(1, least);
+}
+
+void RequestRun::start(Instant now, std::vector<RunAction> &actions)
+{
+    for (std::size_t number = 0; number < this->parts.size(); ++number) {
+        this->table->countRequest(this->settings.services[number]);
+        if (!this->send(now, number, DirectAttempt::First, actions)) {
+            this->give(this->parts[number]);
+        }
+    }
+    this->finishIfDue(now, actions);
+}
+
+std::optional<EndpointId> RequestRun::untried(Instant now, std::size_t number)
+{
+    const Part &part = this->parts[number];
+    std::array<EndpointId, mostAttempts> tried;
+    for (std::size_t each = 0; each < part.count; ++each) {
+        tried[each] = part.attempts[each].endpoint;
+    }
+    const ServiceId &service = this->settings.services[number];
+    return this->table->choose(now, service, *this->latency, std::span(tried).first(part.count));
+}
+
+/// The replica for the next attempt: one that was not tried, otherwise one whose attempts have ended.
+std::optional<EndpointId> RequestRun::endpointFor(Instant now, std::size_t number)
+{
+    const Part &part = this->parts[number];
+    const auto fresh = this->untried(now, number);
+    if (fresh.has_value() || part.count == 0) {
+        return fresh;
+    }
+    std::array<EndpointId, mostAttempts> busy;
+    std::size_t busyCount = 0;
+    for (std::size_t each = 0; each < part.count; ++each) {
+        if (part.attempts[each].live) {
+            busy[busyCount++] = part.attempts[each].endpoint;
+        }
+    }
+    const ServiceId &service = this->settings.services[number];
+    return this->table->choose(now, service, *this->latency, std::span(busy).first(busyCount));
+}
+
+bool RequestRun::mayRunAgain(const Part &part) const
+{
+    const auto run = std::ranges::count_if(part.attempts, [](const Attempt &attempt) {
+        return attempt.mayHaveRun;
+    });
+    return part.count < mostAttempts && run < this->settings.maximumAttempts;
+}
+
+bool RequestRun::send(Instant now, std::size_t number, DirectAttempt reason, std::vector<RunAction> &actions)
+{
+    Part &part = this->parts[number];
+    const auto endpoint = this->endpointFor(now, number);
+    if (!endpoint.has_value()) {
+        return false;
+    }
+    const bool isHedge = reason == DirectAttempt::Hedge;
+    if (part.arrived && !this->table->takeRepeat(this->settings.services[number], isHedge)) {
+        return false;
+    }
+    const AttemptId id{++*this->lastAttempt};
+    const Duration age = part.count > 0 ? now - part.attempts[part.count - 1].sentAt : Duration(0);
+    part.attempts[part.count++] = {.id = id, .endpoint = *endpoint, .sentAt = now, .live = true, .mayHaveRun = true};
+    part.arrived = true;
+    this->table->countSent(now, *endpoint);
+    this->scheduleHedge(part, now, *endpoint);
+    const bool suspect = part.last == ResultCode::ConnectionLost || part.last == ResultCode::ConnectionSilent;
+    actions.emplace_back(SendAttempt{.attempt = id,
+                                     .endpoint = *endpoint,
+                                     .reason = reason,
+                                     .cause = part.last,
+                                     .age = age,
+                                     .remaining = this->settings.deadline - now,
+                                     .provenConnection = !this->settings.idempotent || suspect});
+    return true;
+}
+
+void RequestRun::scheduleHedge(Part &part, Instant now, EndpointId endpoint)
+{
+    part.hedgeAt.reset();
+    if (this->settings.idempotent && this->mayRunAgain(part) && part.count <= mostHedges) {
+        part.hedgeAt = now + this->latency->hedgeDelay(this->table->distanceOf(endpoint));
+    }
+}
+
+void RequestRun::hedge(Instant now, std::size_t number, std::vector<RunAction> &actions)
+{
+    Part &part = this->parts[number];
+    part.hedgeAt.reset();
+    if (this->mayRunAgain(part) && !this->send(now, number, DirectAttempt::Hedge, actions)) {
+        part.hedgeAt = now + hedgePause;
+    }
+}
+
+/// Sends a part again whose attempts have all ended, or gives it up.
+void RequestRun::retry(Instant now, std::size_t number, std::vector<RunAction> &actions)
+{
+    Part &part = this->parts[number];
+    part.hedgeAt.reset();
+    const bool notRun = surelyNotRun(part.last);
+    if (!mayRetry(part.last, this->settings.idempotent) || !this->mayRunAgain(part)) {
+        this->give(part);
+        return;
+    }
+    const bool refusedByAll = part.last == ResultCode::UpstreamShed && !part.retryAt.has_value()
+        && !this->untried(now, number).has_value();
+    if (refusedByAll && now + refusalPause < this->settings.deadline) {
+        part.retryAt = now + refusalPause;
+        return;
+    }
+    part.retryAt.reset();
+    if (!this->send(now, number, notRun ? DirectAttempt::RetryNotRun : DirectAttempt::RetryMayHaveRun, actions)) {
+        this->give(part);
+    }
+}
+
+void RequestRun::give(Part &part)
+{
+    part.state = PartState::Missing;
+    part.hedgeAt.reset();
+    part.retryAt.reset();
+    ++this->missing;
+}
+
+void RequestRun::onAttemptEnd(Instant now,
+                              AttemptId attempt,
+                              const AttemptEnd &end,
+                              bool isReply,
+                              std::vector<RunAction> &actions)
+{
+    if (this->ended) {
+        return;
+    }
+    for (std::size_t number = 0; number < this->parts.size(); ++number) {
+        Part &part = this->parts[number];
+        const auto begin = part.attempts.begin();
+        const auto last = begin + static_cast<std::ptrdiff_t>(part.count);
+        const auto found = std::find_if(begin, last, [attempt](const Attempt &each) {
+            return each.id == attempt;
+        });
+        if (found == last || part.state != PartState::Waiting) {
+            continue;
+        }
+        found->live = false;
+        found->mayHaveRun = !surelyNotRun(end.code);
+        part.last = end.code;
+        if (end.code == ResultCode::Ok) {
+            part.state = PartState::Answered;
+            part.answeredBy = attempt;
+            part.hedgeAt.reset();
+            ++this->answered;
+            this->dropLive(part, false, actions);
+        } else {
+            part.ran = part.ran || found->mayHaveRun;
+            part.failureReply = isReply ? attempt : part.failureReply;
+            if (!end.sent) {
+                part.arrived = std::any_of(begin, last, [](const Attempt &each) {
+                    return each.live || each.mayHaveRun;
+                });
+            }
+            const bool othersLive = std::any_of(begin, last, [](const Attempt &each) {
+                return each.live;
+            });
+            if (!othersLive) {
+                this->retry(now, number, actions);
+            }
+        }
+        this->finishIfDue(now, actions);
+        return;
+    }
+}
+
+void RequestRun::dropLive(Part &part, bool callerLeft, std::vector<RunAction> &actions)
+{
+    for (std::size_t each = 0; each < part.count; ++each) {
+        if (part.attempts[each].live) {
+            part.attempts[each].live = false;
+            actions.emplace_back(DropAttempt{.attempt = part.attempts[each].id, .callerLeft = callerLeft});
+        }
+    }
+}
+
+void RequestRun::onTimer(Instant now, std::vector<RunAction> &actions)
+{
+    for (std::size_t number = 0; number < this->parts.size() && !this->ended; ++number) {
+        Part &part = this->parts[number];
+        if (part.state == PartState::Waiting && part.retryAt.has_value() && *part.retryAt <= now) {
+            this->retry(now, number, actions);
+        } else if (part.state == PartState::Waiting && part.hedgeAt.has_value() && *part.hedgeAt <= now) {
+            this->hedge(now, number, actions);
+        }
+    }
+    this->finishIfDue(now, actions);
+}
+
+std::optional<Instant> RequestRun::nextTimer() const
+{
+    if (this->ended) {
+        return std::nullopt;
+    }
+    // Once the soft answer time is past, only the deadline can end the wait without a reply.
+    const bool enough = this->settings.merged && this->answered >= this->needed();
+    Instant next = enough ? std::min(this->settings.answerBy, this->settings.deadline) : this->settings.deadline;
+    for (const Part &part : this->parts) {
+        next = std::min({next, part.hedgeAt.value_or(next), part.retryAt.value_or(next)});
+    }
+    return next;
+}
+
+void RequestRun::finishIfDue(Instant now, std::vector<RunAction> &actions)
+{
+    if (this->ended) {
+        return;
+    }
+    const std::size_t all = this->parts.size();
+    const bool enough = this->answered >= this->needed();
+    if (this->answered == all) {
+        this->finish(ResultCode::Ok, actions);
+    } else if (enough && (this->answered + this->missing == all || now >= this->settings.answerBy)) {
+        this->finish(ResultCode::PartialAnswer, actions);
+    } else if (all - this->missing < this->needed() || now >= this->settings.deadline) {
+        this->finish(this->failureCode(), actions);
+    }
+}
+
+/// What to tell a caller whose request has no answer: the certain "not run" only where nothing ran.
+ResultCode RequestRun::failureCode() const
+{
+    ResultCode code = ResultCode::DeadlineBeforeDispatch;
+    bool ran = false;
+    for (const Part &part : this->parts) {
+        const bool mayRun = std::ranges::any_of(part.attempts, [](const Attempt &attempt) {
+            return attempt.mayHaveRun;
+        });
+        if (part.state == PartState::Missing && (!ran || part.ran)) {
+            code = part.last;
+        }
+        ran = ran || mayRun;
+    }
+    if (ran && surelyNotRun(code)) {
+        return this->missing > 0 && this->settings.merged ? ResultCode::CoverageTooLow : ResultCode::DeadlineExceeded;
+    }
+    return code;
+}
+
+void RequestRun::finish(ResultCode code, std::vector<RunAction> &actions)
+{
+    this->ended = true;
+    FinishRun answer{.code = code, .missing = this->parts.size() - this->answered};
+    for (Part &part : this->parts) {
+        answer.sent = answer.sent || part.arrived;
+        if (part.answeredBy.has_value()) {
+            answer.answered.push_back(*part.answeredBy);
+        } else if (part.failureReply.has_value()) {
+            answer.failureReply = part.failureReply;
+        }
+        this->dropLive(part, false, actions);
+    }
+    answer.retryAfter = surelyNotRun(code) ? comeBackAfter : Duration(0);
+    actions.emplace_back(std::move(answer));
+}
+
+void RequestRun::abandon(std::vector<RunAction> &actions)
+{
+    this->ended = true;
+    for (Part &part : this->parts) {
+        this->dropLive(part, true, actions);
+    }
+}
+
+} // namespace hickoryshore
--- /dev/null
+++ b/src/hickoryshore/dispatch/request_run_test.cpp
@@ -0,0 +1,230 @@
+#include "hickoryshore/dispatch/request_run.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace hickoryshore;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start = Instant{} + 100s;
+
+/// Some services with two replicas each: 1 and 2 of the first one, 3 and 4 of the second one, and so on.
+struct Fleet
+{
+    EndpointTable table{1};
+    RouteLatency latency{100ms};
+    std::uint64_t lastAttempt = 0;
+    std::vector<RunAction> actions;
+
+    void serve(int services, int replicasEach = 2)
+    {
+        std::vector<DirectReplica> replicas;
+        for (int number = 0; number < services; ++number) {
+            for (int each = 0; each < replicasEach; ++each) {
+                replicas.push_back({.endpoint = {static_cast<std::uint64_t>(replicas.size()) + 1},
+                                    .service = {std::to_string(number)},
+                                    .slots = 2});
+            }
+        }
+        this->table.setRepeatBudget({.ratio = 0.2, .slack = 100}, 4);
+        this->table.setReplicas(start, replicas);
+    }
+
+    RequestRun run(int services, RunSettings settings)
+    {
+        for (int number = 0; number < services; ++number) {
+            settings.services.push_back({std::to_string(number)});
+        }
+        settings.answerBy = start + 75ms;
+        settings.deadline = start + 1s;
+        settings.maximumAttempts = 2;
+        return {settings, this->table, this->latency, this->lastAttempt};
+    }
+
+    template<typename Action>
+    std::vector<Action> take()
+    {
+        std::vector<Action> found;
+        for (const RunAction &action : std::exchange(this->actions, {})) {
+            if (const auto *wanted = std::get_if<Action>(&action)) {
+                found.push_back(*wanted);
+            }
+        }
+        return found;
+    }
+};
+
+const RunSettings mergedRun = {.merged = true, .idempotent = true, .minimumCoverage = 0.7};
+const RunSettings chargeRun = {.idempotent = false};
+const RunSettings lookupRun = {.idempotent = true};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(request_run, Fleet)
+
+BOOST_AUTO_TEST_CASE(all_parts_make_a_whole_answer)
+{
+    this->serve(4);
+    RequestRun run = this->run(4, mergedRun);
+    run.start(start, this->actions);
+    const auto sent = this->take<SendAttempt>();
+    BOOST_REQUIRE(sent.size() == 4);
+    for (const SendAttempt &attempt : sent) {
+        run.onAttemptEnd(start + 8ms, attempt.attempt, {}, true, this->actions);
+    }
+    const auto finished = this->take<FinishRun>();
+    BOOST_REQUIRE(finished.size() == 1);
+    BOOST_TEST((finished.front().code == ResultCode::Ok));
+    BOOST_TEST(finished.front().answered.size() == 4);
+    BOOST_TEST(!run.nextTimer().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_part_that_a_paused_replica_holds_up_goes_to_the_other_one)
+{
+    this->serve(1);
+    RequestRun run = this->run(1, mergedRun);
+    run.start(start, this->actions);
+    const auto first = this->take<SendAttempt>();
+    run.onTimer(run.nextTimer().value(), this->actions);
+    const auto hedge = this->take<SendAttempt>();
+    BOOST_REQUIRE(hedge.size() == 1);
+    BOOST_TEST((hedge.front().reason == DirectAttempt::Hedge));
+    BOOST_TEST((hedge.front().endpoint != first.front().endpoint));
+    run.onAttemptEnd(start + 40ms, hedge.front().attempt, {}, true, this->actions);
+    const auto actions = this->actions;
+    BOOST_TEST(this->take<FinishRun>().size() == 1);
+    this->actions = actions;
+    const auto dropped = this->take<DropAttempt>();
+    BOOST_REQUIRE(dropped.size() == 1);
+    BOOST_TEST((dropped.front().attempt == first.front().attempt && !dropped.front().callerLeft));
+}
+
+BOOST_AUTO_TEST_CASE(a_dead_shard_leaves_an_honest_answer_in_part_at_the_soft_answer_time)
+{
+    this->serve(4);
+    RequestRun run = this->run(4, mergedRun);
+    run.start(start, this->actions);
+    const auto sent = this->take<SendAttempt>();
+    for (std::size_t part = 0; part < 3; ++part) {
+        run.onAttemptEnd(start + 8ms, sent[part].attempt, {}, true, this->actions);
+    }
+    Instant now = start;
+    while (run.nextTimer().has_value()) {
+        now = std::max(now, *run.nextTimer());
+        run.onTimer(now, this->actions);
+    }
+    BOOST_TEST((now == start + 75ms));
+    const auto finished = this->take<FinishRun>();
+    BOOST_TEST((finished.at(0).code == ResultCode::PartialAnswer));
+    BOOST_TEST(finished.at(0).missing == 1);
+}
+
+BOOST_AUTO_TEST_CASE(too_few_parts_are_no_answer_and_told_at_once)
+{
+    this->serve(2);
+    RequestRun run = this->run(4, mergedRun);
+    run.start(start, this->actions);
+    const auto finished = this->take<FinishRun>();
+    BOOST_TEST((finished.at(0).code == ResultCode::CoverageTooLow));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_without_replicas_is_refused_as_not_run)
+{
+    this->serve(0);
+    RequestRun run = this->run(1, lookupRun);
+    run.start(start, this->actions);
+    const auto finished = this->take<FinishRun>();
+    BOOST_TEST((finished.at(0).code == ResultCode::NoReplica));
+    BOOST_TEST(!finished.at(0).sent);
+    BOOST_TEST((finished.at(0).retryAfter > Duration(0)));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_may_run_once_is_not_sent_again_when_it_may_have_run)
+{
+    this->serve(1);
+    RequestRun run = this->run(1, chargeRun);
+    run.start(start, this->actions);
+    const auto sent = this->take<SendAttempt>();
+    BOOST_TEST(sent.front().provenConnection);
+    run.onTimer(start + 500ms, this->actions);
+    BOOST_TEST(this->take<SendAttempt>().empty());
+    run.onAttemptEnd(
+        start + 510ms, sent.front().attempt, {.code = ResultCode::ConnectionLost}, false, this->actions);
+    const auto finished = this->take<FinishRun>();
+    BOOST_TEST((finished.at(0).code == ResultCode::ConnectionLost));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_may_run_once_goes_to_another_replica_when_it_did_not_run)
+{
+    this->serve(1);
+    RequestRun run = this->run(1, chargeRun);
+    run.start(start, this->actions);
+    const auto sent = this->take<SendAttempt>();
+    run.onAttemptEnd(
+        start, sent.front().attempt, {.code = ResultCode::ConnectFailed, .sent = false}, false, this->actions);
+    const auto again = this->take<SendAttempt>();
+    BOOST_REQUIRE(again.size() == 1);
+    BOOST_TEST((again.front().reason == DirectAttempt::RetryNotRun));
+    BOOST_TEST((again.front().endpoint != sent.front().endpoint));
+    run.onAttemptEnd(start, again.front().attempt, {.code = ResultCode::UpstreamError}, true, this->actions);
+    const auto finished = this->take<FinishRun>();
+    BOOST_TEST((finished.at(0).code == ResultCode::UpstreamError));
+    BOOST_TEST((finished.at(0).failureReply == again.front().attempt));
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_by_all_replicas_is_tried_again_a_little_later)
+{
+    this->serve(1);
+    RequestRun run = this->run(1, lookupRun);
+    run.start(start, this->actions);
+    for (int refusals = 0; refusals < 2; ++refusals) {
+        const auto sent = this->take<SendAttempt>();
+        BOOST_REQUIRE(sent.size() == 1);
+        run.onAttemptEnd(start, sent.front().attempt, {.code = ResultCode::UpstreamShed}, true, this->actions);
+    }
+    BOOST_TEST(this->actions.empty());
+    const Instant again = run.nextTimer().value();
+    BOOST_TEST((again > start && again < start + 100ms));
+    run.onTimer(again, this->actions);
+    BOOST_TEST(this->take<SendAttempt>().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(no_part_runs_on_more_replicas_than_allowed)
+{
+    this->serve(1, 6);
+    RequestRun run = this->run(1, lookupRun);
+    run.start(start, this->actions);
+    while (run.nextTimer().has_value() && *run.nextTimer() < start + 1s) {
+        run.onTimer(*run.nextTimer(), this->actions);
+    }
+    BOOST_TEST(this->take<SendAttempt>().size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_stops_all_attempts)
+{
+    this->serve(3);
+    RequestRun run = this->run(3, mergedRun);
+    run.start(start, this->actions);
+    this->actions.clear();
+    run.abandon(this->actions);
+    const auto dropped = this->take<DropAttempt>();
+    BOOST_TEST(dropped.size() == 3);
+    BOOST_TEST(dropped.front().callerLeft);
+    BOOST_TEST(!run.nextTimer().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(the_deadline_ends_the_wait)
+{
+    this->serve(1);
+    RequestRun run = this->run(1, lookupRun);
+    run.start(start, this->actions);
+    run.onTimer(start + 1s, this->actions);
+    const auto finished = this->take<FinishRun>();
+    BOOST_TEST((finished.at(0).code == ResultCode::DeadlineExceeded));
+    BOOST_TEST(finished.at(0).sent);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/hickoryshore/entry/entry_vm.cpp
@@ -0,0 +1,339 @@
+#include "hickoryshore/entry/entry_vm.h"
+
+#include "hickoryshore/clock/clock.h"
+#include "hickoryshore/log/log.h"
+
+#include <algorithm>
+#include <array>
+
+namespace hickoryshore {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// How long callers keep an answer that names entry points: short, since it bounds for how long they still come to a VM
+/// that has left.
+constexpr Duration entryPointLifetime = 1s;
+/// Some callers keep an answer for so many lifetimes.
+constexpr int lifetimesKept = 3;
+/// In one answer.
+constexpr std::size_t entryPointCount = 64;
+/// Until the news of a leaving VM has reached all others.
+constexpr Duration newsAllowance = 800ms;
+constexpr Duration refusePeriod = 100ms;
+/// Kept back from the grace period, so that the process has ended before it is killed.
+constexpr Duration graceMargin = 700ms;
+constexpr Duration shutdownCheck = 50ms;
+/// Until the membership is known, the budgets are divided as if the fleet had this size.
+constexpr std::size_t assumedFleet = 24;
+constexpr Duration timeToLearnFleet = 5s;
+/// One peer is probed in each; a VM that is silent is suspected, and not named to callers, 350 ms after its probe.
+constexpr Duration probePeriod = 300ms;
+constexpr std::string_view slice = "entryVm";
+
+int portOf(std::string_view address)
+{
+    return parseHostPort(address).port;
+}
+
+HttpListenerSettings listenerSettings(const CallerLimits &limits)
+{
+    return {.limits = {.headerBytes = limits.headerBytes, .bodyBytes = limits.bodyBytes},
+            .requestTimeout = limits.headerTimeout,
+            .idleTimeout = limits.idleTimeout};
+}
+
+ShutdownSettings shutdownSettings(const EntrySettings &settings)
+{
+    const Duration kept = lifetimesKept * entryPointLifetime;
+    const Duration longest = std::max(settings.gracePeriod - graceMargin, newsAllowance + kept + refusePeriod);
+    return {.newsAllowance = newsAllowance,
+            .entryPointLifetime = kept,
+            .handOverTimeout = 0s,
+            .refusePeriod = refusePeriod,
+            .longestShutdown = longest};
+}
+
+std::uint64_t drawSeed()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) | device();
+}
+
+} // namespace
+
+EntryVm::EntryVm(EventLoop &loop, const EntrySettings &settings, EntryDialect dialect, StoreAccess store)
+    : loop(loop),
+      settings(settings),
+      dialect(std::move(dialect)),
+      seed(drawSeed()),
+      random(this->seed),
+      callers(loop, settings.callerListen, {}, this->callerHooks()),
+      entryPoints(loop,
+                  settings.entryPointListen,
+                  {},
+                  {.onRequest =
+                       [this](HttpCallId call, const HttpServerRequest &request) {
+                           this->answerEntryPoint(call, request);
+                       }}),
+      readiness(loop,
+                settings.readinessListen,
+                {},
+                {.onRequest =
+                     [this](HttpCallId call, const HttpServerRequest &request) {
+                         this->answerReadiness(call, request);
+                     }}),
+      peers(loop,
+            settings.peerListen,
+            {},
+            {.onRequest =
+                 [this](HttpCallId call, const HttpServerRequest &request) {
+                     this->answerPeer(call, request);
+                 }}),
+      requests(loop,
+               this->settings,
+               this->dialect,
+               this->metrics,
+               this->seed,
+               [this](HttpCallId call, const HttpAnswer &answer) {
+                   this->callers.answer(call, answer);
+               }),
+      state(loop,
+            this->dialect,
+            std::move(store),
+            portOf(settings.peerListen),
+            this->seed,
+            {.onRouteTable =
+                 [this](const std::shared_ptr<const RouteTable> &table) {
+                     this->onRouteTable(table);
+                 },
+             .onReplicas =
+                 [this](const ReplicaRegistry &registry) {
+                     this->requests.setReplicas(registry);
+                 }}),
+      members(std::make_shared<MembershipView>()),
+      shutdown(shutdownSettings(settings))
+{
+    std::vector<std::string> seeds;
+    for (const std::string &seedAddress : settings.seeds) {
+        seeds.push_back(seedAddress + ":" + std::to_string(settings.membershipPort));
+    }
+    Member self{.vm = settings.vm,
+                .dataCentre = settings.dataCentre,
+                .region = settings.region,
+                .address = settings.address,
+                .membershipPort = settings.membershipPort,
+                .httpPort = portOf(settings.callerListen)};
+    this->requests.setFleetSize(static_cast<int>(assumedFleet));
+    this->membership = std::make_unique<MembershipService>(
+        loop,
+        MembershipServiceSettings{.self = std::move(self), .seeds = seeds, .protocol = {.probePeriod = probePeriod}},
+        this->membershipHooks());
+    loop.after(timeToLearnFleet, [this] {
+        this->requests.setFleetSize(static_cast<int>(this->largestFleet));
+    });
+    this->state.start();
+    writeLog({.slice = slice,
+              .event = "started",
+              .fields = {{"address", settings.callerListen}, {"region", settings.region.value}}});
+}
+
+HttpListenerHooks EntryVm::callerHooks()
+{
+    return {.onRequest =
+                [this](HttpCallId call, HttpServerRequest request) {
+                    this->requests.onRequest(call, std::move(request));
+                },
+            .onClientLeft =
+                [this](HttpCallId call) {
+                    this->requests.onClientLeft(call);
+                },
+            .onRefused =
+                [this](int status) {
+                    const ResultCode code = status == 431 ? ResultCode::HeaderTooLarge
+                        : status == 413                   ? ResultCode::RequestTooLarge
+                        : status == 408                   ? ResultCode::RequestIncomplete
+                                                          : ResultCode::MalformedRequest;
+                    this->metrics.countBadInput(code);
+                    writeLog({.level = LogLevel::Warn, .slice = slice, .event = "badInput", .resultCode = code});
+                }};
+}
+
+MembershipHooks EntryVm::membershipHooks()
+{
+    return {.onView =
+                [this](const std::shared_ptr<const MembershipView> &view) {
+                    this->onView(view);
+                },
+            .onRevisionHeard =
+                [this](Revision revision, const VmId &from) {
+                    this->state.onRevisionHeard(revision, from);
+                },
+            .onMemberChanged =
+                [this](const MemberChangedAction &change) {
+                    this->logMember(change);
+                },
+            .onSuperseded =
+                [] {
+                    writeLog({.level = LogLevel::Warn, .slice = slice, .event = "superseded"});
+                }};
+}
+
+void EntryVm::logMember(const MemberChangedAction &change) const
+{
+    writeLog({.slice = slice,
+              .event = "memberChanged",
+              .fields = {{"member", change.member.vm.value},
+                         {"state", std::string(memberStateName(change.member.state))},
+                         {"before", change.before.has_value() ? std::string(memberStateName(*change.before)) : ""},
+                         {"incarnation", std::to_string(change.member.incarnation)}}});
+}
+
+void EntryVm::onView(const std::shared_ptr<const MembershipView> &view)
+{
+    this->members = view;
+    this->state.setMembers(view);
+    const auto alive = static_cast<std::size_t>(std::ranges::count_if(view->members, [](const Member &member) {
+        return member.state != MemberState::Dead;
+    }));
+    // The largest fleet that was seen: members that seem gone may only be cut off from here, and go on using up theirs.
+    if (alive > this->largestFleet) {
+        this->largestFleet = alive;
+        this->requests.setFleetSize(static_cast<int>(std::max(alive, assumedFleet)));
+    }
+}
+
+void EntryVm::onRouteTable(const std::shared_ptr<const RouteTable> &table)
+{
+    this->requests.setRouteTable(table);
+    this->callers.setBounds(listenerSettings(table->callers));
+    // Not known yet while the first listing is under way.
+    this->loop.post([this] {
+        this->membership->setConfigRevision(this->state.revision());
+    });
+}
+
+/// Callers whose region holds no replicas are sent to regions that do: one way to a VM there costs less than one for
+/// each shard.
+EntryPoints EntryVm::entryPointsFor(const CallerPlace &place)
+{
+    MembershipView able{.self = this->members->self, .members = {}};
+    for (const Member &member : this->members->members) {
+        const bool isSelf = member.vm == this->members->self;
+        const bool serves = isSelf ? this->state.isComplete() : member.configRevision.value > 0;
+        if (isUsable(member) && serves) {
+            able.members.push_back(member);
+        }
+    }
+    const auto regions = this->requests.shardRegions();
+    const auto held = [&regions](const RegionId &region) {
+        const auto found = regions.find(region);
+        return found == regions.end() ? 0 : found->second;
+    };
+    int most = 0;
+    for (const auto &[region, replicas] : regions) {
+        most = std::max(most, replicas);
+    }
+    const bool callerIsNear = 2 * held(place.region) >= most;
+    std::vector<Member> near;
+    for (const Member &member : able.members) {
+        if (callerIsNear ? member.region == place.region : 2 * held(member.region) >= most) {
+            near.push_back(member);
+        }
+    }
+    if (!near.empty()) {
+        able.members = std::move(near);
+    }
+    return chooseEntryPoints(
+        able, place, {.count = entryPointCount, .timeToLive = entryPointLifetime}, this->random());
+}
+
+void EntryVm::answerEntryPoint(HttpCallId call, const HttpServerRequest &request)
+{
+    if (pathOf(request.target) != this->dialect.entryPointPath) {
+        this->entryPoints.answer(call, {.status = 404});
+        return;
+    }
+    const EntryPoints points = this->entryPointsFor(this->dialect.parseCallerPlace(queryOf(request.target)));
+    if (points.entries.empty()) {
+        this->entryPoints.answer(call, {.status = 503});
+        return;
+    }
+    this->entryPoints.answer(
+        call, {.headers = {{"Content-Type", "application/json"}}, .body = this->dialect.formatEntryPoints(points)});
+}
+
+void EntryVm::answerReadiness(HttpCallId call, const HttpServerRequest &request)
+{
+    const bool known = pathOf(request.target) == this->dialect.readinessPath;
+    const bool ready = this->state.isComplete() && this->shutdown.phase() == ShutdownPhase::Serving;
+    if (ready != this->wasReady) {
+        this->wasReady = ready;
+        writeLog({.slice = slice, .event = ready ? "ready" : "notReady"});
+    }
+    this->readiness.answer(call, {.status = !known ? 404 : ready ? 200 : 503});
+}
+
+void EntryVm::answerPeer(HttpCallId call, const HttpServerRequest &request)
+{
+    constexpr std::string_view haveKey = "have=";
+    const std::string_view query = queryOf(request.target);
+    if (pathOf(request.target) == "/v1/state" && query.starts_with(haveKey)) {
+        this->peers.answer(call, {.body = this->state.encodeState(query.substr(haveKey.size()))});
+    } else if (pathOf(request.target) == "/metrics") {
+        this->peers.answer(call, {.headers = {{"Content-Type", "text/plain"}}, .body = this->metricsText()});
+    } else {
+        this->peers.answer(call, {.status = 404});
+    }
+}
+
+std::string EntryVm::metricsText() const
+{
+    const HttpConnectionCounts connections = this->requests.connections();
+    const std::array gauges = {
+        Gauge{"requests_in_flight", "Requests that await their answer", static_cast<double>(this->requests.inFlight())},
+        Gauge{"replica_connections", "Open connections to replicas", static_cast<double>(connections.open)},
+        Gauge{"replica_connections_opened", "Since the start", static_cast<double>(connections.opened)},
+        Gauge{"caller_connections", "Open connections of callers", static_cast<double>(this->callers.connections())},
+        Gauge{"members", "Known VMs", static_cast<double>(this->members->members.size())},
+        Gauge{"configuration_revision", "Of the routes in force", static_cast<double>(this->state.revision().value)},
+        Gauge{"store_reached", "Whether the store answers", this->state.isCutOff() ? 0.0 : 1.0},
+        Gauge{"log_lines_dropped", "Since the start", static_cast<double>(droppedLogLines())}};
+    return this->metrics.prometheusText(gauges);
+}
+
+void EntryVm::leave()
+{
+    if (this->shutdown.phase() != ShutdownPhase::Serving) {
+        return;
+    }
+    writeLog({.slice = slice,
+              .event = "leaving",
+              .fields = {{"inFlight", std::to_string(this->requests.inFlight())}}});
+    std::vector<ShutdownAction> actions;
+    this->shutdown.beginLeave(monotonicNow(), actions);
+    this->shutdown.shardsHandedOver();
+    this->membership->leave();
+    this->callers.closeAfterAnswers();
+    this->loop.every(shutdownCheck, [this] {
+        this->advanceShutdown();
+    });
+}
+
+void EntryVm::advanceShutdown()
+{
+    std::vector<ShutdownAction> actions;
+    this->shutdown.onTimer(monotonicNow(), this->requests.inFlight(), actions);
+    for (const ShutdownAction &action : actions) {
+        if (const auto *exit = std::get_if<ExitAction>(&action)) {
+            writeLog({.level = exit->cut > 0 ? LogLevel::Error : LogLevel::Info,
+                      .slice = slice,
+                      .event = "stopped",
+                      .fields = {{"cut", std::to_string(exit->cut)}}});
+            this->loop.stop();
+        }
+    }
+}
+
+} // namespace hickoryshore
--- /dev/null
+++ b/src/hickoryshore/entry/request_answers.cpp
@@ -0,0 +1,126 @@
+// The answers of a RequestService, and the log lines that tell of them.
+#include "hickoryshore/clock/clock.h"
+#include "hickoryshore/dispatch/record_merge.h"
+#include "hickoryshore/entry/request_service.h"
+#include "hickoryshore/log/log.h"
+
+#include <xxhash.h>
+
+namespace hickoryshore {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Of the answers that are whole, one in so many is logged, by the hash of its request id: all VMs log the same ones.
+constexpr std::uint64_t sampledAnswers = 64;
+
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusGatewayTimeout = 504;
+
+/// The status of an answer without a result. Only 503 promises that nothing ran.
+int failureStatus(ResultCode code)
+{
+    const ResultCodeInfo &info = resultCodeInfo(code);
+    if (info.execution == Execution::NotRun) {
+        return info.httpStatus >= 500 ? statusUnavailable : info.httpStatus;
+    }
+    return code == ResultCode::DeadlineExceeded || code == ResultCode::ConnectionSilent ? statusGatewayTimeout
+                                                                                       : statusBadGateway;
+}
+
+std::string formatSeconds(Duration duration)
+{
+    std::string text = std::to_string(static_cast<double>(duration.count()) / 1e6);
+    return text.substr(0, text.find('.') + 4);
+}
+
+} // namespace
+
+HttpAnswer RequestService::answerOf(const ActiveRequest &request, const FinishRun &outcome) const
+{
+    const bool answered = outcome.code == ResultCode::Ok || outcome.code == ResultCode::PartialAnswer;
+    if (answered && !request.route->shards.empty()) {
+        return this->mergedAnswer(request, outcome);
+    }
+    if (answered) {
+        return this->forwardedAnswer(request.replies.at(outcome.answered.front()));
+    }
+    // What a replica said goes on unchanged, unless it did not run the request while another attempt may have.
+    if (request.route->shards.empty() && outcome.failureReply.has_value()) {
+        const UpstreamHttpResponse &reply = request.replies.at(*outcome.failureReply);
+        const bool saysNotRun = findHeader(reply.headers, this->dialect.headers.notExecuted).has_value();
+        if (!saysNotRun && reply.status / 100 != 2) {
+            return this->forwardedAnswer(reply);
+        }
+    }
+    return this->refusalAnswer(request.forwarding->requestId, outcome.code, outcome.retryAfter);
+}
+
+HttpAnswer RequestService::mergedAnswer(const ActiveRequest &request, const FinishRun &outcome) const
+{
+    std::vector<std::string_view> parts;
+    std::string signatures;
+    for (const AttemptId attempt : outcome.answered) {
+        const UpstreamHttpResponse &reply = request.replies.at(attempt);
+        parts.emplace_back(reply.body);
+        signatures.append(signatures.empty() ? "" : ", ")
+            .append(findHeader(reply.headers, this->dialect.headers.resultSignature).value_or(""));
+    }
+    HttpAnswer merged;
+    merged.headers = {{this->dialect.headers.requestId, request.forwarding->requestId},
+                      {this->dialect.headers.coveredSignatures, std::move(signatures)},
+                      {this->dialect.headers.missingShards, std::to_string(outcome.missing)}};
+    merged.body = greatestRecords(parts, this->dialect.recordBytes, request.route->topRecords);
+    return merged;
+}
+
+HttpAnswer RequestService::forwardedAnswer(const UpstreamHttpResponse &reply) const
+{
+    HttpAnswer forwarded{.status = reply.status, .reason = reply.reason, .headers = {}, .body = reply.body};
+    const std::string_view connection = findHeader(reply.headers, "Connection").value_or("");
+    for (const HttpHeader &header : reply.headers) {
+        if (!isHopByHop(header.name, connection)) {
+            forwarded.headers.push_back(header);
+        }
+    }
+    return forwarded;
+}
+
+HttpAnswer RequestService::refusalAnswer(std::string_view requestId, ResultCode code, Duration retryAfter) const
+{
+    HttpAnswer refused{.status = failureStatus(code)};
+    if (!requestId.empty()) {
+        refused.headers.push_back({this->dialect.headers.requestId, std::string(requestId)});
+    }
+    if (refused.status == statusUnavailable) {
+        refused.headers.push_back({"Retry-After", formatSeconds(retryAfter)});
+    }
+    return refused;
+}
+
+void RequestService::logFinish(const ActiveRequest &request, const FinishRun &outcome, int status) const
+{
+    const std::string &id = request.forwarding->requestId;
+    if (outcome.code == ResultCode::Ok && XXH3_64bits(id.data(), id.size()) % sampledAnswers != 0) {
+        return;
+    }
+    const Duration age = monotonicNow() - request.arrival;
+    writeLog({.level = outcome.code == ResultCode::Ok ? LogLevel::Info : LogLevel::Warn,
+              .slice = "entry",
+              .event = "answered",
+              .requestId = id,
+              .resultCode = outcome.code,
+              .fields = {{"route", request.route->name.value},
+                         {"version", std::to_string(request.table->version)},
+                         {"status", std::to_string(status)},
+                         {"ageMs", std::to_string(age / 1ms)},
+                         {"attempts", std::to_string(request.attempts)},
+                         {"hedges", std::to_string(request.hedges)},
+                         {"missing", std::to_string(outcome.missing)},
+                         {"lastFailure", std::string(resultCodeInfo(request.lastFailure).name)},
+                         {"sent", outcome.sent ? "true" : "false"}}});
+}
+
+} // namespace hickoryshore
--- /dev/null
+++ b/src/hickoryshore/entry/request_service.cpp
@@ -0,0 +1,475 @@
+#include "hickoryshore/entry/request_service.h"
+
+#include "hickoryshore/clock/clock.h"
+#include "hickoryshore/log/log.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace hickoryshore {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Kept back from a caller's remaining time for the way to it and back.
+constexpr Duration callerTravel = 15ms;
+/// Kept back from the latency objective: the ways of the request and the answer, opening the connection, and merging.
+constexpr Duration objectiveMargin = 25ms;
+/// An attempt that nobody waits for any more may end by itself until it is this old, so that its connection and its
+/// latency are of use.
+constexpr Duration strayLimit = 400ms;
+/// When a caller may come back to a VM that knows no configuration yet.
+constexpr Duration comeBackUnready = 300ms;
+/// Of the connections that a replica accepts, the part that is divided between the VMs.
+constexpr double sharedConnections = 0.85;
+constexpr std::string_view slice = "entry";
+
+Duration parseMilliseconds(std::optional<std::string_view> text, Duration otherwise)
+{
+    std::int64_t milliseconds = 0;
+    if (!text.has_value()
+        || std::from_chars(text->data(), text->data() + text->size(), milliseconds).ec != std::errc()) {
+        return otherwise;
+    }
+    return std::chrono::milliseconds(std::clamp<std::int64_t>(milliseconds, 0, std::int64_t{3600} * 1000));
+}
+
+std::string milliseconds(Duration duration)
+{
+    return std::to_string(duration / 1ms);
+}
+
+} // namespace
+
+RequestService::RequestService(EventLoop &loop,
+                               const EntrySettings &settings,
+                               const EntryDialect &dialect,
+                               Metrics &metrics,
+                               std::uint64_t seed,
+                               AnswerHook answer)
+    : loop(loop),
+      settings(settings),
+      dialect(dialect),
+      metrics(metrics),
+      answer(std::move(answer)),
+      table(seed),
+      split(seed),
+      upstream(std::make_shared<HttpConnections>(
+          loop,
+          HttpConnectionSettings{.responses = {.withoutLength = true, .excess = true, .keepHeaders = true}}))
+{
+    this->setFleetSize(1);
+}
+
+void RequestService::setFleetSize(int vms)
+{
+    this->fleetSize = std::max(1, vms);
+    this->table.setRepeatBudget(this->settings.repeats, this->fleetSize);
+    if (this->routeTable != nullptr) {
+        this->setRouteTable(this->routeTable);
+    }
+}
+
+void RequestService::setRouteTable(std::shared_ptr<const RouteTable> changed)
+{
+    this->routeTable = std::move(changed);
+    this->routes.emplace(this->routeTable);
+    std::unordered_map<ServiceId, int> limits;
+    for (const ServiceLimits &service : this->routeTable->services) {
+        const double share = sharedConnections * service.connectionsPerReplica / this->fleetSize;
+        limits[service.service] = std::max(1, static_cast<int>(share));
+    }
+    for (const auto &[endpoint, replica] : this->replicas) {
+        const auto limit = limits.find(replica.service);
+        if (limit != limits.end()) {
+            this->upstream->setLimit(replica.address, limit->second);
+        }
+    }
+}
+
+void RequestService::setReplicas(const ReplicaRegistry &registry)
+{
+    std::vector<DirectReplica> direct;
+    this->replicas.clear();
+    this->regionsOfShards.clear();
+    for (const auto &[name, replica] : registry.replicas()) {
+        const ReplicaRecord &record = replica.record;
+        const auto region = this->settings.regions.find(record.dataCentre);
+        const bool near = region != this->settings.regions.end() && region->second == this->settings.region;
+        direct.push_back({.endpoint = replica.endpoint,
+                          .service = record.service,
+                          .distance = near ? Distance::SameRegion : Distance::OtherRegion,
+                          .sameDataCentre = record.dataCentre == this->settings.dataCentre,
+                          .slots = record.slots,
+                          .draining = record.draining,
+                          .warmUpLeft = record.warmUpLeft});
+        this->replicas[replica.endpoint]
+            = {.name = replica.name, .address = record.address, .service = record.service};
+        if (region != this->settings.regions.end()) {
+            ++this->regionsOfShards[region->second];
+        }
+    }
+    this->table.setReplicas(monotonicNow(), direct);
+    if (this->routeTable != nullptr) {
+        this->setRouteTable(this->routeTable);
+    }
+}
+
+std::optional<ResultCode> RequestService::refusal(const Route *route, const HttpServerRequest &request) const
+{
+    if (!this->routes.has_value()) {
+        return ResultCode::NoConfiguration;
+    }
+    if (route == nullptr) {
+        return ResultCode::UnknownRoute;
+    }
+    if (findHeader(request.headers, this->dialect.headers.requestId).value_or("").empty()) {
+        return ResultCode::MissingRequestId;
+    }
+    return std::nullopt;
+}
+
+void RequestService::onRequest(HttpCallId call, HttpServerRequest request)
+{
+    this->metrics.count(Count::Queries);
+    const auto host = findHeader(request.headers, "Host").value_or("");
+    const Route *route = this->routes.has_value() ? this->routes->find(host, pathOf(request.target)) : nullptr;
+    if (const auto code = this->refusal(route, request)) {
+        this->refuse(call, request, *code);
+    } else {
+        this->begin(call, *route, request);
+    }
+}
+
+void RequestService::refuse(HttpCallId call, const HttpServerRequest &request, ResultCode code)
+{
+    const auto id = findHeader(request.headers, this->dialect.headers.requestId).value_or("");
+    this->metrics.countAnswer(code);
+    writeLog({.level = LogLevel::Warn,
+              .slice = slice,
+              .event = "refused",
+              .requestId = id,
+              .resultCode = code,
+              .fields = {{"host", std::string(findHeader(request.headers, "Host").value_or(""))},
+                         {"path", std::string(pathOf(request.target))},
+                         {"version", std::to_string(this->routes.has_value() ? this->routes->table().version : 0)}}});
+    this->answer(call, this->refusalAnswer(id, code, comeBackUnready));
+}
+
+RouteLatency &RequestService::latencyOf(const Route &route)
+{
+    std::unique_ptr<RouteLatency> &latency = this->latencies[route.name];
+    if (latency == nullptr) {
+        latency = std::make_unique<RouteLatency>(route.latencyObjective);
+    }
+    return *latency;
+}
+
+RunSettings RequestService::runSettings(const Route &route, Instant now, Duration remaining)
+{
+    RunSettings run{.merged = !route.shards.empty(),
+                    .idempotent = route.idempotent,
+                    .maximumAttempts = std::max(1, route.maximumAttempts),
+                    .minimumCoverage = route.minimumCoverage};
+    if (run.merged) {
+        run.services = route.shards;
+    } else {
+        run.services.push_back(this->split.next(route));
+    }
+    run.deadline = now + std::min(route.timeout, remaining - callerTravel);
+    run.answerBy = std::min(run.deadline, now + std::max(route.latencyObjective - objectiveMargin, Duration(1ms)));
+    return run;
+}
+
+std::shared_ptr<const RequestService::Forwarding> RequestService::forwardingOf(const HttpServerRequest &request) const
+{
+    const ForwardingHeaders &names = this->dialect.headers;
+    auto forwarding = std::make_shared<Forwarding>();
+    forwarding->requestId = findHeader(request.headers, names.requestId).value_or("");
+    forwarding->isHead = request.method == "HEAD";
+    const std::string_view connection = findHeader(request.headers, "Connection").value_or("");
+    std::string &head = forwarding->head;
+    head.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    for (const HttpHeader &header : request.headers) {
+        const std::vector<HttpHeader> one = {header};
+        const bool replaced = findHeader(one, names.remainingMilliseconds).has_value()
+            || findHeader(one, names.expectedReplica).has_value();
+        if (!replaced && !isHopByHop(header.name, connection)) {
+            appendHeader(head, header.name, header.value);
+        }
+    }
+    if (!request.body.empty() || (request.method != "GET" && !forwarding->isHead)) {
+        appendHeader(forwarding->tail, "Content-Length", std::to_string(request.body.size()));
+    }
+    forwarding->tail.append("\r\n").append(request.body);
+    return forwarding;
+}
+
+void RequestService::begin(HttpCallId call, const Route &route, const HttpServerRequest &request)
+{
+    const Instant now = monotonicNow();
+    const Duration remaining = parseMilliseconds(
+        findHeader(request.headers, this->dialect.headers.remainingMilliseconds), route.timeout + callerTravel);
+    ActiveRequest &started = this->active[call];
+    started.table = this->routeTable;
+    started.route = &route;
+    started.arrival = now;
+    started.forwarding = this->forwardingOf(request);
+    started.run = std::make_unique<RequestRun>(
+        this->runSettings(route, now, remaining), this->table, this->latencyOf(route), this->lastAttempt);
+    std::vector<RunAction> actions;
+    started.run->start(now, actions);
+    this->perform(call, actions);
+}
+
+void RequestService::perform(HttpCallId call, std::vector<RunAction> &actions)
+{
+    for (const RunAction &action : actions) {
+        if (const auto *send = std::get_if<SendAttempt>(&action)) {
+            this->send(call, this->active.at(call), *send);
+        } else if (const auto *drop = std::get_if<DropAttempt>(&action)) {
+            this->drop(*drop);
+        } else if (const auto *outcome = std::get_if<FinishRun>(&action)) {
+            this->finish(call, *outcome);
+        }
+    }
+    const auto found = this->active.find(call);
+    if (found != this->active.end()) {
+        this->armTimer(call, found->second);
+    }
+}
+
+void RequestService::send(HttpCallId call, ActiveRequest &request, const SendAttempt &action)
+{
+    const Replica &replica = this->replicas.at(action.endpoint);
+    const Forwarding &forwarding = *request.forwarding;
+    HttpExchange exchange;
+    exchange.request.reserve(forwarding.head.size() + forwarding.tail.size() + 128);
+    exchange.request = forwarding.head;
+    appendHeader(
+        exchange.request, this->dialect.headers.remainingMilliseconds, milliseconds(std::max(action.remaining, Duration(1ms))));
+    appendHeader(exchange.request, this->dialect.headers.expectedReplica, replica.name);
+    exchange.request += forwarding.tail;
+    exchange.timeout = action.remaining + strayLimit;
+    exchange.proven = action.provenConnection;
+    exchange.waits = true;
+    exchange.bodiless = forwarding.isHead;
+    exchange.skipsForeign = true;
+    exchange.belongs = [this, shared = request.forwarding](const UpstreamHttpResponse &response) {
+        const auto echoed = findHeader(response.headers, this->dialect.headers.requestId);
+        return !echoed.has_value() || *echoed == shared->requestId;
+    };
+    exchange.onEnd = [this, attempt = action.attempt](HttpExchangeEnd end) {
+        this->onExchangeEnd(attempt, std::move(end));
+    };
+    ++request.attempts;
+    this->metrics.count(Count::Attempts);
+    if (action.reason == DirectAttempt::Hedge) {
+        ++request.hedges;
+        this->metrics.count(Count::Hedges);
+    } else if (action.reason != DirectAttempt::First) {
+        this->metrics.countRetry(action.cause);
+    }
+    if (action.reason != DirectAttempt::First) {
+        writeLog({.level = LogLevel::Debug,
+                  .slice = slice,
+                  .event = action.reason == DirectAttempt::Hedge ? "hedged" : "retried",
+                  .requestId = forwarding.requestId,
+                  .resultCode = action.cause,
+                  .fields = {{"service", replica.service.value},
+                             {"replica", replica.name},
+                             {"ageMs", milliseconds(action.age)}}});
+    }
+    this->attempts[action.attempt] = {.call = call,
+                                      .endpoint = action.endpoint,
+                                      .latency = &this->latencyOf(*request.route),
+                                      .exchange = this->upstream->start(replica.address, std::move(exchange)),
+                                      .sentAt = monotonicNow(),
+                                      .merged = !request.route->shards.empty()};
+}
+
+void RequestService::drop(const DropAttempt &action)
+{
+    const auto found = this->attempts.find(action.attempt);
+    if (found == this->attempts.end()) {
+        return;
+    }
+    found->second.call = {};
+    if (action.callerLeft) {
+        this->metrics.count(Count::Cancellations);
+        this->upstream->abort(found->second.exchange);
+        this->table.countDropped(monotonicNow(), found->second.endpoint, false);
+        this->attempts.erase(found);
+        return;
+    }
+    const Duration left = found->second.sentAt + strayLimit - monotonicNow();
+    this->loop.after(std::max(left, Duration(0)), [this, attempt = action.attempt] {
+        this->giveUpStray(attempt);
+    });
+}
+
+void RequestService::giveUpStray(AttemptId attempt)
+{
+    const auto found = this->attempts.find(attempt);
+    if (found == this->attempts.end()) {
+        return;
+    }
+    const ActiveAttempt stray = found->second;
+    this->attempts.erase(found);
+    this->metrics.count(Count::Cancellations);
+    this->upstream->abort(stray.exchange);
+    this->table.countDropped(monotonicNow(), stray.endpoint, true);
+    const auto replica = this->replicas.find(stray.endpoint);
+    if (replica != this->replicas.end()) {
+        this->upstream->closeSuspects(replica->second.address, stray.sentAt);
+    }
+}
+
+AttemptEnd RequestService::classify(const ActiveAttempt &attempt, const HttpExchangeEnd &end, Instant now) const
+{
+    AttemptEnd result{.sent = end.sent, .latency = now - attempt.sentAt};
+    if (end.failure.has_value()) {
+        switch (*end.failure) {
+        case HttpFailure::Connect:
+            result.code = ResultCode::ConnectFailed;
+            result.sent = false;
+            break;
+        case HttpFailure::Closed:
+            result.code = end.sent ? ResultCode::ConnectionLost : ResultCode::ConnectFailed;
+            break;
+        case HttpFailure::Timeout:
+            result.code = ResultCode::ConnectionSilent;
+            break;
+        case HttpFailure::Malformed:
+            result.code = ResultCode::UpstreamGarbage;
+            break;
+        }
+        return result;
+    }
+    const ForwardingHeaders &names = this->dialect.headers;
+    const int status = end.response.status;
+    const bool success = status / 100 == 2;
+    if (const auto load = findHeader(end.response.headers, names.replicaLoad)) {
+        result.waiting = this->dialect.parseWaiting(*load);
+    }
+    if (status == 421) {
+        result.code = ResultCode::UpstreamDraining;
+    } else if (findHeader(end.response.headers, names.notExecuted).has_value()) {
+        result.code = ResultCode::UpstreamShed;
+    } else if (success ? !findHeader(end.response.headers, names.resultSignature).has_value()
+                       : attempt.merged || status >= 500) {
+        result.code = ResultCode::UpstreamError;
+    }
+    return result;
+}
+
+void RequestService::onExchangeEnd(AttemptId attempt, HttpExchangeEnd end)
+{
+    const auto found = this->attempts.find(attempt);
+    if (found == this->attempts.end()) {
+        return;
+    }
+    const Instant now = monotonicNow();
+    const ActiveAttempt ended = found->second;
+    this->attempts.erase(found);
+    const AttemptEnd result = this->classify(ended, end, now);
+    const auto change = this->table.countEnd(now, ended.endpoint, *ended.latency, result);
+    if (change.has_value()) {
+        const auto replica = this->replicas.find(ended.endpoint);
+        writeLog({.level = LogLevel::Warn,
+                  .slice = slice,
+                  .event = change->ejected ? "replicaEjected" : "replicaBack",
+                  .resultCode = result.code,
+                  .fields = {{"replica", replica == this->replicas.end() ? "" : replica->second.name},
+                             {"failures", std::to_string(change->failures)}}});
+    }
+    if (result.code == ResultCode::Ok) {
+        this->metrics.observe(Latency::Upstream, result.latency);
+        ended.latency->add(this->table.distanceOf(ended.endpoint), result.latency);
+    }
+    const auto waiting = this->active.find(ended.call);
+    if (waiting == this->active.end()) {
+        this->metrics.count(Count::LateReplies);
+        return;
+    }
+    const bool isReply = !end.failure.has_value();
+    if (isReply) {
+        waiting->second.replies.emplace(attempt, std::move(end.response));
+    }
+    if (result.code != ResultCode::Ok) {
+        waiting->second.lastFailure = result.code;
+    }
+    std::vector<RunAction> actions;
+    waiting->second.run->onAttemptEnd(now, attempt, result, isReply, actions);
+    this->perform(ended.call, actions);
+}
+
+void RequestService::armTimer(HttpCallId call, ActiveRequest &request)
+{
+    const auto next = request.run->nextTimer();
+    if (!next.has_value() || *next >= request.timerAt) {
+        return;
+    }
+    request.timerAt = *next;
+    this->loop.after(std::max(*next - monotonicNow(), Duration(0)), [this, call, at = *next] {
+        const auto found = this->active.find(call);
+        if (found == this->active.end() || found->second.timerAt != at) {
+            return;
+        }
+        found->second.timerAt = Instant::max();
+        std::vector<RunAction> actions;
+        found->second.run->onTimer(monotonicNow(), actions);
+        this->perform(call, actions);
+    });
+}
+
+void RequestService::finish(HttpCallId call, const FinishRun &outcome)
+{
+    const auto found = this->active.find(call);
+    const ActiveRequest finished = std::move(found->second);
+    this->active.erase(found);
+    const HttpAnswer reply = this->answerOf(finished, outcome);
+    this->metrics.countAnswer(outcome.code);
+    this->metrics.observe(Latency::Query, monotonicNow() - finished.arrival);
+    this->logFinish(finished, outcome, reply.status);
+    this->answer(call, reply);
+}
+
+void RequestService::onClientLeft(HttpCallId call)
+{
+    const auto found = this->active.find(call);
+    if (found == this->active.end()) {
+        return;
+    }
+    std::vector<RunAction> actions;
+    found->second.run->abandon(actions);
+    this->metrics.countAnswer(ResultCode::Cancelled);
+    writeLog({.slice = slice,
+              .event = "callerLeft",
+              .requestId = found->second.forwarding->requestId,
+              .fields = {{"ageMs", milliseconds(monotonicNow() - found->second.arrival)},
+                         {"attempts", std::to_string(found->second.attempts)}}});
+    for (const RunAction &action : actions) {
+        this->drop(std::get<DropAttempt>(action));
+    }
+    this->active.erase(found);
+}
+
+std::size_t RequestService::inFlight() const
+{
+    return this->active.size();
+}
+
+HttpConnectionCounts RequestService::connections() const
+{
+    return this->upstream->counts();
+}
+
+std::unordered_map<RegionId, int> RequestService::shardRegions() const
+{
+    return this->regionsOfShards;
+}
+
+} // namespace hickoryshore
--- a/src/hickoryshore/upstream/http_exchange.cpp
+++ b/src/hickoryshore/http1/http_exchange.cpp
@@ -1,5 +1,6 @@
-// The only source that includes Boost.Beast, so that its templates are compiled once.
-#include "hickoryshore/upstream/http_exchange.h"
+#include "hickoryshore/http1/http_exchange.h"
+
+#include "http_fields.h"
 
 #include <optional>
 #include <utility>
@@ -18,6 +19,8 @@
 
 constexpr unsigned httpVersion = 11;
 constexpr std::uint64_t largestBody = 16ULL * 1024 * 1024;
+/// Interim responses (1xx) come before the final one.
+constexpr int firstFinalStatus = 200;
 
 boost::beast::string_view viewOf(std::string_view text)
 {
@@ -53,24 +56,62 @@
 
 struct HttpResponseReader::State
 {
+    HttpResponseRules rules;
+    bool bodiless = false;
     std::optional<http::response_parser<http::string_body>> parser;
     std::string pending; ///< Received, but not enough for the parser to go on.
+    std::string excess;
+
+    void begin();
+    Progress progress(std::string_view left);
 };
 
-HttpResponseReader::HttpResponseReader() : state(std::make_unique<State>())
-{ }
+void HttpResponseReader::State::begin()
+{
+    this->parser.emplace();
+    this->parser->eager(true);
+    this->parser->body_limit(largestBody);
+    this->parser->skip(this->bodiless);
+}
+
+/// What the parser has come to, with the bytes that it did not take.
+HttpResponseReader::Progress HttpResponseReader::State::progress(std::string_view left)
+{
+    const auto &reading = *this->parser;
+    // Without a length the end of the response is the end of the connection.
+    const bool endless = reading.is_header_done() && !reading.is_done() && reading.need_eof();
+    if (endless && !this->rules.withoutLength) {
+        return Progress::Malformed;
+    }
+    if (!reading.is_done()) {
+        return Progress::NeedsMore;
+    }
+    if (!left.empty() && !this->rules.excess) {
+        return Progress::Malformed;
+    }
+    this->excess = std::string(left);
+    return Progress::Complete;
+}
+
+HttpResponseReader::HttpResponseReader(HttpResponseRules rules) : state(std::make_unique<State>())
+{
+    this->state->rules = rules;
+}
 
 HttpResponseReader::~HttpResponseReader() = default;
 HttpResponseReader::HttpResponseReader(HttpResponseReader &&) noexcept = default;
 HttpResponseReader &HttpResponseReader::operator=(HttpResponseReader &&) noexcept = default;
 
+void HttpResponseReader::expectNoBody()
+{
+    this->state->bodiless = true;
+}
+
 HttpResponseReader::Progress HttpResponseReader::take(std::string_view bytes)
 {
     auto &parser = this->state->parser;
     if (!parser.has_value()) {
-        parser.emplace();
-        parser->eager(true);
-        parser->body_limit(largestBody);
+        this->state->begin();
     }
     std::string &pending = this->state->pending;
     const bool hadPending = !pending.empty();
@@ -81,19 +122,31 @@
     boost::beast::error_code error;
     while (!bytes.empty() && !parser->is_done() && !error) {
         bytes.remove_prefix(parser->put(boost::asio::buffer(bytes.data(), bytes.size()), error));
+        if (parser->is_done() && static_cast<int>(parser->get().result_int()) < firstFinalStatus) {
+            this->state->begin();
+        }
+    }
+    if (error && error != http::error::need_more) {
+        return Progress::Malformed;
     }
     if (error == http::error::need_more) {
         pending = std::string(bytes);
-        error = {};
-    } else if (hadPending && bytes.empty()) {
-        pending.clear();
+        return Progress::NeedsMore;
     }
-    // Without a length the end of the response would be the end of the connection.
-    const bool endless = parser->is_header_done() && !parser->is_done() && parser->need_eof();
-    if (error || endless || (parser->is_done() && !bytes.empty())) {
+    const Progress progress = this->state->progress(bytes);
+    pending.clear();
+    return progress;
+}
+
+HttpResponseReader::Progress HttpResponseReader::end()
+{
+    auto &parser = this->state->parser;
+    if (!parser.has_value() || !parser->is_header_done() || !parser->need_eof()) {
         return Progress::Malformed;
     }
-    return parser->is_done() ? Progress::Complete : Progress::NeedsMore;
+    boost::beast::error_code error;
+    parser->put_eof(error);
+    return error || !parser->is_done() ? Progress::Malformed : Progress::Complete;
 }
 
 UpstreamHttpResponse HttpResponseReader::release()
@@ -102,10 +155,22 @@
     UpstreamHttpResponse response;
     response.status = static_cast<int>(parser.get().result_int());
     response.keepAlive = parser.keep_alive();
+    response.idleTimeout = idleTimeoutOf(parser.get());
+    if (this->state->rules.keepHeaders) {
+        const auto reason = parser.get().reason();
+        response.reason = std::string(reason.data(), reason.size());
+        response.headers = headersOf(parser.get());
+    }
     response.body = std::move(parser.get().body());
     this->state->parser.reset();
     this->state->pending.clear();
+    this->state->bodiless = false;
     return response;
 }
 
+std::string_view HttpResponseReader::excess() const
+{
+    return this->state->excess;
+}
+
 } // namespace hickoryshore
--- a/src/hickoryshore/upstream/http_exchange_test.cpp
+++ b/src/hickoryshore/http1/http_exchange_test.cpp
@@ -1,4 +1,4 @@
-#include "hickoryshore/upstream/http_exchange.h"
+#include "hickoryshore/http1/http_exchange.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -71,3 +71,35 @@
     BOOST_TEST((progressOf(whole + "HTTP/1.1 200 OK") == Progress::Malformed));
     BOOST_TEST((progressOf("HTTP/1.1 200 OK\r\nX: " + std::string(longHeader, 'x')) == Progress::Malformed));
 }
+
+BOOST_AUTO_TEST_CASE(bytes_beyond_a_response_are_set_apart_where_the_rules_say_so)
+{
+    HttpResponseReader reader({.excess = true, .keepHeaders = true});
+    BOOST_TEST((reader.take(whole + "HTTP/1.1 2") == Progress::Complete));
+    BOOST_TEST(reader.excess() == "HTTP/1.1 2");
+    const UpstreamHttpResponse response = reader.release();
+    BOOST_TEST(response.body == "hello");
+    BOOST_TEST(findHeader(response.headers, "content-length").value() == "5");
+}
+
+BOOST_AUTO_TEST_CASE(a_response_without_a_length_ends_with_its_connection_where_the_rules_say_so)
+{
+    HttpResponseReader reader({.withoutLength = true});
+    BOOST_TEST((reader.take("HTTP/1.1 200 OK\r\n\r\nwithout") == Progress::NeedsMore));
+    BOOST_TEST((reader.end() == Progress::Complete));
+    BOOST_TEST(reader.release().body == "without");
+    HttpResponseReader cut({.withoutLength = true});
+    BOOST_TEST((cut.take(std::string_view(whole).substr(0, whole.size() - 1)) == Progress::NeedsMore));
+    BOOST_TEST((cut.end() == Progress::Malformed));
+}
+
+BOOST_AUTO_TEST_CASE(a_response_may_state_its_idle_time_and_follow_an_interim_one)
+{
+    HttpResponseReader reader;
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    BOOST_TEST((reader.take(interim + "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=7\r\nContent-Length: 0\r\n\r\n")
+                == Progress::Complete));
+    const UpstreamHttpResponse response = reader.release();
+    BOOST_TEST(response.status == 200);
+    BOOST_TEST((response.idleTimeout == Duration(std::chrono::seconds(7))));
+}
--- /dev/null
+++ b/src/hickoryshore/httpserver/http_listener.cpp
@@ -0,0 +1,356 @@
+#include "hickoryshore/httpserver/http_listener.h"
+
+#include "hickoryshore/clock/clock.h"
+#include "hickoryshore/http/http_client.h"
+
+#include <cerrno>
+#include <stdexcept>
+#include <system_error>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace hickoryshore {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t readSize = std::size_t{16} * 1024;
+/// As many connections as may wait to be accepted.
+constexpr int backlog = 1024;
+constexpr Duration timeoutCheck = 250ms;
+
+constexpr int statusBadRequest = 400;
+constexpr int statusRequestTimeout = 408;
+constexpr int statusBodyTooLarge = 413;
+constexpr int statusHeaderTooLarge = 431;
+
+std::string_view usualReason(int status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case statusBadRequest:
+        return "Bad Request";
+    case 404:
+        return "Not Found";
+    case statusRequestTimeout:
+        return "Request Timeout";
+    case statusBodyTooLarge:
+        return "Content Too Large";
+    case 429:
+        return "Too Many Requests";
+    case statusHeaderTooLarge:
+        return "Request Header Fields Too Large";
+    case 502:
+        return "Bad Gateway";
+    case 503:
+        return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Status";
+    }
+}
+
+/// Opens a listening socket that does not block. Throws std::system_error.
+int listenOn(std::string_view address)
+{
+    HostPort place;
+    try {
+        place = parseHostPort(address);
+    } catch (const std::invalid_argument &) {
+        throw std::system_error(EINVAL, std::generic_category(), "address " + std::string(address));
+    }
+    sockaddr_in local{};
+    local.sin_family = AF_INET;
+    local.sin_port = htons(static_cast<std::uint16_t>(place.port));
+    inet_pton(AF_INET, place.host.c_str(), &local.sin_addr);
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0) {
+        throw std::system_error(errno, std::generic_category(), "socket");
+    }
+    const int on = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (bind(descriptor, reinterpret_cast<const sockaddr *>(&local), sizeof(local)) != 0
+        || listen(descriptor, backlog) != 0) {
+        const int error = errno;
+        ::close(descriptor);
+        throw std::system_error(error, std::generic_category(), "listen on " + std::string(address));
+    }
+    return descriptor;
+}
+
+std::string formatAnswer(const HttpAnswer &answer, bool withBody, bool close)
+{
+    std::string message = "HTTP/1.1 " + std::to_string(answer.status) + ' ';
+    message.append(answer.reason.empty() ? usualReason(answer.status) : answer.reason).append("\r\n");
+    for (const HttpHeader &header : answer.headers) {
+        appendHeader(message, header.name, header.value);
+    }
+    appendHeader(message, "Content-Length", std::to_string(answer.body.size()));
+    if (close) {
+        appendHeader(message, "Connection", "close");
+    }
+    message += "\r\n";
+    if (withBody) {
+        message += answer.body;
+    }
+    return message;
+}
+
+} // namespace
+
+HttpListener::HttpListener(EventLoop &loop,
+                           std::string_view address,
+                           HttpListenerSettings settings,
+                           HttpListenerHooks hooks)
+    : loop(loop),
+      settings(settings),
+      hooks(std::move(hooks)),
+      descriptor(listenOn(address)),
+      received(readSize)
+{
+    this->loop.watch(this->descriptor, [this] {
+        this->accept();
+    });
+    this->loop.every(timeoutCheck, [this] {
+        this->checkTimeouts();
+    });
+}
+
+HttpListener::~HttpListener()
+{
+    for (const auto &[id, connection] : this->open) {
+        this->loop.unwatchStream(connection.watch, connection.descriptor);
+        ::close(connection.descriptor);
+    }
+    ::close(this->descriptor);
+}
+
+void HttpListener::accept()
+{
+    while (true) {
+        const int accepted = accept4(this->descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (accepted < 0) {
+            return;
+        }
+        const int on = 1;
+        const auto timeoutMs = static_cast<unsigned>(ceilMilliseconds(this->settings.unacknowledgedTimeout));
+        setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        setsockopt(accepted, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeoutMs, sizeof(timeoutMs));
+        const Id id = ++this->lastId;
+        std::uint64_t watch = 0;
+        try {
+            watch = this->loop.watchStream(accepted, [this, id](Readiness readiness) {
+                this->onReady(id, readiness);
+            });
+        } catch (const std::system_error &) {
+            ::close(accepted);
+            continue;
+        }
+        this->open.try_emplace(id,
+                               Connection{.descriptor = accepted,
+                                          .watch = watch,
+                                          .reader = HttpRequestReader(this->settings.limits),
+                                          .since = monotonicNow()});
+    }
+}
+
+void HttpListener::onReady(Id id, Readiness readiness)
+{
+    const auto found = this->open.find(id);
+    if (found == this->open.end()) {
+        return;
+    }
+    Connection &connection = found->second;
+    if (readiness.writable && connection.sent < connection.outgoing.size()) {
+        this->send(id, connection);
+    }
+    if (readiness.readable && this->open.contains(id)) {
+        this->receive(id, connection);
+    }
+}
+
+void HttpListener::receive(Id id, Connection &connection)
+{
+    while (true) {
+        const ssize_t count = ::recv(connection.descriptor, this->received.data(), readSize, 0);
+        if (count < 0 && errno == EINTR) {
+            continue;
+        }
+        if (count < 0 && errno == EAGAIN) {
+            return;
+        }
+        if (count <= 0) {
+            this->close(id, true);
+            return;
+        }
+        if (connection.closing) {
+            continue;
+        }
+        if (!connection.inRequest) {
+            connection.inRequest = true;
+            connection.since = monotonicNow();
+        }
+        const std::string_view bytes(this->received.data(), static_cast<std::size_t>(count));
+        // While a request awaits its answer, what follows is kept unread.
+        if (connection.call.value != 0) {
+            connection.reader.hold(bytes);
+        } else if (!this->process(id, connection, connection.reader.take(bytes))) {
+            return;
+        }
+    }
+}
+
+/// Acts on what the reader has come to; returns whether the connection is still open.
+bool HttpListener::process(Id id, Connection &connection, HttpRequestReader::Progress progress)
+{
+    switch (progress) {
+    case HttpRequestReader::Progress::NeedsMore:
+        return true;
+    case HttpRequestReader::Progress::Malformed:
+        this->refuse(id, connection, statusBadRequest);
+        return this->open.contains(id);
+    case HttpRequestReader::Progress::HeaderTooLarge:
+        this->refuse(id, connection, statusHeaderTooLarge);
+        return this->open.contains(id);
+    case HttpRequestReader::Progress::BodyTooLarge:
+        this->refuse(id, connection, statusBodyTooLarge);
+        return this->open.contains(id);
+    case HttpRequestReader::Progress::Complete:
+        break;
+    }
+    HttpServerRequest request = connection.reader.release();
+    connection.call = {++this->lastCall};
+    connection.isHead = request.method == "HEAD";
+    connection.inRequest = false;
+    connection.closing = connection.closing || !request.keepAlive;
+    this->calls.emplace(connection.call, id);
+    this->hooks.onRequest(connection.call, std::move(request));
+    return this->open.contains(id);
+}
+
+void HttpListener::refuse(Id id, Connection &connection, int status)
+{
+    if (this->hooks.onRefused) {
+        this->hooks.onRefused(status);
+    }
+    connection.outgoing += formatAnswer({.status = status}, true, true);
+    connection.closing = true;
+    this->send(id, connection);
+}
+
+void HttpListener::answer(HttpCallId call, const HttpAnswer &answer)
+{
+    const auto found = this->calls.find(call);
+    if (found == this->calls.end()) {
+        return;
+    }
+    const Id id = found->second;
+    this->calls.erase(found);
+    Connection &connection = this->open.at(id);
+    connection.closing = connection.closing || answer.close || this->ending;
+    connection.outgoing += formatAnswer(answer, !connection.isHead, connection.closing);
+    connection.call = {};
+    connection.since = monotonicNow();
+    this->send(id, connection);
+    if (this->open.contains(id) && !connection.closing && connection.reader.hasBegun()) {
+        connection.inRequest = true;
+        // Soon rather than now: the answer may have been given within the hook for this connection's request.
+        this->loop.post([this, id] {
+            const auto waiting = this->open.find(id);
+            if (waiting != this->open.end() && waiting->second.call.value == 0) {
+                this->process(id, waiting->second, waiting->second.reader.take(""));
+            }
+        });
+    }
+}
+
+void HttpListener::send(Id id, Connection &connection)
+{
+    while (connection.sent < connection.outgoing.size()) {
+        const ssize_t count = ::send(connection.descriptor,
+                                     connection.outgoing.data() + connection.sent,
+                                     connection.outgoing.size() - connection.sent,
+                                     MSG_NOSIGNAL);
+        if (count >= 0) {
+            connection.sent += static_cast<std::size_t>(count);
+        } else if (errno == EAGAIN) {
+            return;
+        } else if (errno != EINTR) {
+            this->close(id, true);
+            return;
+        }
+    }
+    connection.outgoing.clear();
+    connection.sent = 0;
+    if (connection.closing && connection.call.value == 0) {
+        // The client reads to the end before the connection is closed: closing with bytes unread would reset it.
+        ::shutdown(connection.descriptor, SHUT_WR);
+        connection.since = monotonicNow();
+    }
+}
+
+void HttpListener::close(Id id, bool clientLeft)
+{
+    const auto found = this->open.find(id);
+    const HttpCallId call = found->second.call;
+    this->loop.unwatchStream(found->second.watch, found->second.descriptor);
+    ::close(found->second.descriptor);
+    this->open.erase(found);
+    if (call.value != 0) {
+        this->calls.erase(call);
+        if (clientLeft && this->hooks.onClientLeft) {
+            this->hooks.onClientLeft(call);
+        }
+    }
+}
+
+void HttpListener::checkTimeouts()
+{
+    const Instant now = monotonicNow();
+    std::vector<Id> idle;
+    std::vector<Id> slow;
+    for (const auto &[id, connection] : this->open) {
+        if (connection.call.value != 0) {
+            continue;
+        }
+        const Duration waited = now - connection.since;
+        if (connection.closing ? waited > 1s : !connection.inRequest && waited > this->settings.idleTimeout) {
+            idle.push_back(id);
+        } else if (!connection.closing && connection.inRequest && waited > this->settings.requestTimeout) {
+            slow.push_back(id);
+        }
+    }
+    for (const Id id : idle) {
+        this->close(id, false);
+    }
+    for (const Id id : slow) {
+        this->refuse(id, this->open.at(id), statusRequestTimeout);
+    }
+}
+
+void HttpListener::setBounds(const HttpListenerSettings &changed)
+{
+    this->settings = changed;
+    for (auto &[id, connection] : this->open) {
+        connection.reader.setLimits(changed.limits);
+    }
+}
+
+void HttpListener::closeAfterAnswers()
+{
+    this->ending = true;
+}
+
+std::size_t HttpListener::connections() const
+{
+    return this->open.size();
+}
+
+} // namespace hickoryshore
--- a/src/hickoryshore/log/log.cpp
+++ b/src/hickoryshore/log/log.cpp
@@ -1,9 +1,13 @@
 #include "hickoryshore/log/log.h"
 
+#include <algorithm>
 #include <array>
+#include <atomic>
 #include <chrono>
+#include <climits>
 #include <ctime>
 #include <memory>
+#include <mutex>
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -13,6 +17,9 @@
 #include <log4cplus/spi/loggingevent.h>
 #include <nlohmann/json.hpp>
 
+#include <poll.h>
+#include <unistd.h>
+
 namespace hickoryshore {
 
 namespace {
@@ -40,6 +47,45 @@
     }
 };
 
+std::atomic<std::uint64_t> &dropped()
+{
+    static std::atomic<std::uint64_t> count = 0;
+    return count;
+}
+
+/// Writes to standard output as long as it takes lines at once, and only so many in a second.
+class BoundedAppender : public log4cplus::Appender
+{
+public:
+    void close() override
+    {
+        this->closed = true;
+    }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent &event) override
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const double seconds = std::chrono::duration<double>(now - this->refilled).count();
+        this->tokens = std::min(logLinesPerSecond, this->tokens + seconds * logLinesPerSecond);
+        this->refilled = now;
+        const std::string line = event.getMessage() + '\n';
+        // A pipe that is ready takes PIPE_BUF bytes without blocking; a longer line could wait for its reader.
+        pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+        const bool ready = this->tokens >= 1.0 && line.size() <= PIPE_BUF && poll(&output, 1, 0) == 1
+            && (output.revents & POLLOUT) != 0;
+        if (!ready || write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+            ++dropped();
+            return;
+        }
+        this->tokens -= 1.0;
+    }
+
+private:
+    double tokens = logLinesPerSecond;
+    std::chrono::steady_clock::time_point refilled = std::chrono::steady_clock::now();
+};
+
 log4cplus::Logger logger()
 {
     return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("hickoryshore"));
@@ -102,13 +148,17 @@
 
 } // namespace
 
-void startLogging(std::string_view vm, std::string_view dataCentre, std::string_view leastLevel)
+void startLogging(std::string_view vm, std::string_view dataCentre, std::string_view leastLevel, LogOutput output)
 {
     static const log4cplus::Initializer initializer;
     identity() = {std::string(vm), std::string(dataCentre)};
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
-    appender->setLayout(std::make_unique<LineLayout>());
-    logger().addAppender(appender);
+    if (output == LogOutput::BoundedOutput) {
+        logger().addAppender(log4cplus::SharedAppenderPtr(new BoundedAppender));
+    } else {
+        log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+        appender->setLayout(std::make_unique<LineLayout>());
+        logger().addAppender(appender);
+    }
     logger().setAdditivity(false);
     logger().setLogLevel(toLog4cplus(parseLevel(leastLevel)));
 }
@@ -135,10 +185,18 @@
     if (!event.detail.empty()) {
         line["detail"] = event.detail;
     }
+    for (const LogField &field : event.fields) {
+        line[std::string(field.name)] = field.value;
+    }
     const std::string text = line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
     logger().forcedLog(toLog4cplus(event.level), text);
 }
 
+std::uint64_t droppedLogLines()
+{
+    return dropped();
+}
+
 bool isLogged(LogLevel level)
 {
     return logger().isEnabledFor(toLog4cplus(level));
--- a/src/hickoryshore/result/result_code.cpp
+++ b/src/hickoryshore/result/result_code.cpp
@@ -72,6 +72,9 @@
      Never,
      409,
      "The request id was used before for another request."},
+    {ResultCode::UnknownRoute, "unknownRoute", NotRun, Never, 404, "No route has this host and path."},
+    {ResultCode::HeaderTooLarge, "headerTooLarge", NotRun, Never, 431, "The request's header exceeds the limit."},
+    {ResultCode::RequestIncomplete, "requestIncomplete", NotRun, Safe, 408, "The request did not come whole in time."},
 
     {ResultCode::WouldMissDeadline,
      "wouldMissDeadline",
--- /dev/null
+++ b/src/hickoryshore/routes/route_table.cpp
@@ -0,0 +1,52 @@
+#include "hickoryshore/routes/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace hickoryshore {
+
+namespace {
+
+std::string normalizedHost(std::string_view host)
+{
+    std::string normalized(host.substr(0, host.find(':')));
+    std::ranges::transform(normalized, normalized.begin(), [](unsigned char letter) {
+        return static_cast<char>(std::tolower(letter));
+    });
+    return normalized;
+}
+
+} // namespace
+
+RouteIndex::RouteIndex(std::shared_ptr<const RouteTable> table) : routes(std::move(table))
+{
+    for (const Route &route : this->routes->routes) {
+        this->hosts[normalizedHost(route.host)][route.pathPrefix] = &route;
+    }
+}
+
+const Route *RouteIndex::find(std::string_view host, std::string_view path) const
+{
+    const auto prefixes = this->hosts.find(normalizedHost(host));
+    if (prefixes == this->hosts.end()) {
+        return nullptr;
+    }
+    // Each prefix ends with a slash, so that only the slashes of the path can end one.
+    std::size_t slash = path.rfind('/');
+    while (slash != std::string_view::npos) {
+        const auto found = prefixes->second.find(path.substr(0, slash + 1));
+        if (found != prefixes->second.end()) {
+            return found->second;
+        }
+        slash = slash == 0 ? std::string_view::npos : path.rfind('/', slash - 1);
+    }
+    return nullptr;
+}
+
+const RouteTable &RouteIndex::table() const
+{
+    return *this->routes;
+}
+
+} // namespace hickoryshore
--- /dev/null
+++ b/src/hickoryshore/routes/service_split.cpp
@@ -0,0 +1,45 @@
+#include "hickoryshore/routes/service_split.h"
+
+#include <algorithm>
+#include <iterator>
+#include <numeric>
+
+namespace hickoryshore {
+
+ServiceSplit::ServiceSplit(std::uint64_t seed)
+    : random(static_cast<std::minstd_rand::result_type>(seed % (std::minstd_rand::modulus - 1) + 1))
+{ }
+
+ServiceSplit::Shares &ServiceSplit::sharesOf(const Route &route)
+{
+    Shares &shares = this->routes[route.name];
+    if (shares.split != route.split) {
+        shares.split = route.split;
+        shares.lag.clear();
+        std::uniform_real_distribution<double> anywhere(0.0, 1.0);
+        for (std::size_t number = 0; number < route.split.size(); ++number) {
+            shares.lag.push_back(anywhere(this->random));
+        }
+    }
+    return shares;
+}
+
+const ServiceId &ServiceSplit::next(const Route &route)
+{
+    if (route.split.size() == 1) {
+        return route.split.front().service;
+    }
+    Shares &shares = this->sharesOf(route);
+    const double total = std::accumulate(
+        route.split.begin(), route.split.end(), 0.0, [](double sum, const ServiceShare &share) {
+            return sum + share.weight;
+        });
+    for (std::size_t number = 0; number < shares.lag.size(); ++number) {
+        shares.lag[number] += total > 0.0 ? route.split[number].weight / total : 0.0;
+    }
+    const auto furthest = std::ranges::max_element(shares.lag);
+    *furthest -= 1.0;
+    return route.split[static_cast<std::size_t>(std::distance(shares.lag.begin(), furthest))].service;
+}
+
+} // namespace hickoryshore
--- a/src/hickoryshore/shard/token_budget.cpp
+++ b/src/hickoryshore/shard/token_budget.cpp
@@ -32,4 +32,15 @@
     this->earnedPerSubRequest = earnedPerSubRequest;
 }
 
+void TokenBudget::setReserve(double reserve)
+{
+    this->reserve = reserve;
+    this->tokens = std::min(this->tokens, reserve);
+}
+
+void TokenBudget::giveBack()
+{
+    this->tokens = std::min(this->tokens + 1.0, this->reserve);
+}
+
 } // namespace hickoryshore
--- /dev/null
+++ b/src/hickoryshore/statesync/prefix_follower.cpp
@@ -0,0 +1,168 @@
+#include "hickoryshore/statesync/prefix_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace hickoryshore {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// The first retry follows a single lost call soon; later ones are seldom enough for a store that counts each call.
+constexpr Duration firstRetry = 100ms;
+constexpr Duration longestRetry = 800ms;
+constexpr int mostDoublings = 3;
+
+} // namespace
+
+PrefixFollower::PrefixFollower(std::uint64_t seed)
+    : random(static_cast<std::minstd_rand::result_type>(seed % (std::minstd_rand::modulus - 1) + 1))
+{ }
+
+void PrefixFollower::start(Instant /*now*/, std::vector<FollowerAction> &actions)
+{
+    this->next(actions);
+}
+
+void PrefixFollower::next(std::vector<FollowerAction> &actions)
+{
+    if (!this->mustList) {
+        actions.emplace_back(WatchKeys{this->knownAsOf});
+        return;
+    }
+    actions.emplace_back(ListKeys{this->listed.empty() ? std::string() : this->listed.back().key});
+}
+
+void PrefixFollower::answered(std::vector<FollowerAction> &actions)
+{
+    this->failures = 0;
+    if (!this->reached) {
+        this->reached = true;
+        actions.emplace_back(StoreReachable{true});
+    }
+}
+
+bool PrefixFollower::wasAway(Instant now) const
+{
+    return this->failedAt.has_value() && now - *this->failedAt < awayMemory;
+}
+
+void PrefixFollower::onPage(Instant now, StorePage page, std::vector<FollowerAction> &actions)
+{
+    this->answered(actions);
+    if (!this->mustList) {
+        // A peer has handed over the state meanwhile.
+        this->next(actions);
+        return;
+    }
+    // Pages are not read at one moment: the changes since the first one are watched for.
+    this->listedAsOf = this->listed.empty() ? page.asOf : std::min(this->listedAsOf, page.asOf);
+    std::ranges::move(page.items, std::back_inserter(this->listed));
+    if (!page.hasMore || page.items.empty()) {
+        this->mustList = false;
+        this->adopt(now, std::exchange(this->listed, {}), this->listedAsOf, actions);
+    }
+    this->next(actions);
+}
+
+void PrefixFollower::adopt(Instant now,
+                           std::vector<StoreItem> items,
+                           std::uint64_t asOf,
+                           std::vector<FollowerAction> &actions)
+{
+    // A store that answers from an older state does not take back what is known.
+    if (asOf < this->knownAsOf) {
+        return;
+    }
+    this->knownAsOf = asOf;
+    this->state.clear();
+    for (const StoreItem &item : items) {
+        this->state[item.key] = {item.value, item.revision};
+    }
+    actions.emplace_back(TakeListing{.items = std::move(items), .storeWasAway = this->wasAway(now)});
+}
+
+void PrefixFollower::onChanges(Instant now, StoreChanges changes, std::vector<FollowerAction> &actions)
+{
+    this->answered(actions);
+    for (StoreChange &change : changes.changes) {
+        const auto found = this->state.find(change.key);
+        if (found != this->state.end() && found->second.revision >= change.revision) {
+            continue;
+        }
+        if (change.value.has_value()) {
+            this->state[change.key] = {*change.value, change.revision};
+        } else if (found != this->state.end()) {
+            this->state.erase(found);
+        }
+        actions.emplace_back(TakeChange{.change = std::move(change), .storeWasAway = this->wasAway(now)});
+    }
+    this->knownAsOf = std::max(this->knownAsOf, changes.asOf);
+    this->next(actions);
+}
+
+void PrefixFollower::onFailure(Instant now, StoreFailure failure, std::vector<FollowerAction> &actions)
+{
+    this->listed.clear();
+    if (failure == StoreFailure::HistoryGone) {
+        this->mustList = true;
+        this->next(actions);
+        return;
+    }
+    this->failedAt = now;
+    if (this->reached) {
+        this->reached = false;
+        actions.emplace_back(StoreReachable{false});
+    }
+    const Duration longest = std::min(longestRetry, firstRetry * (1 << std::min(this->failures, mostDoublings)));
+    ++this->failures;
+    std::uniform_int_distribution<Duration::rep> delay(longest.count() / 2, longest.count());
+    this->retryAt = now + Duration(delay(this->random));
+}
+
+void PrefixFollower::onPeerState(Instant now, StorePage state, std::vector<FollowerAction> &actions)
+{
+    if (state.asOf <= this->knownAsOf) {
+        return;
+    }
+    this->adopt(now, std::move(state.items), state.asOf, actions);
+    // A listing that was to replace an unknown or outdated state is needless now.
+    this->mustList = false;
+    this->listed.clear();
+}
+
+void PrefixFollower::onTimer(Instant now, std::vector<FollowerAction> &actions)
+{
+    if (this->retryAt.has_value() && *this->retryAt <= now) {
+        this->retryAt.reset();
+        this->next(actions);
+    }
+}
+
+std::optional<Instant> PrefixFollower::nextTimer() const
+{
+    return this->retryAt;
+}
+
+std::uint64_t PrefixFollower::asOf() const
+{
+    return this->knownAsOf;
+}
+
+bool PrefixFollower::isCutOff() const
+{
+    return !this->reached;
+}
+
+std::vector<StoreItem> PrefixFollower::items() const
+{
+    std::vector<StoreItem> items;
+    items.reserve(this->state.size());
+    for (const auto &[key, value] : this->state) {
+        items.push_back({key, value.value, value.revision});
+    }
+    return items;
+}
+
+} // namespace hickoryshore
--- /dev/null
+++ b/src/hickoryshore/statesync/prefix_follower_test.cpp
@@ -0,0 +1,112 @@
+#include "hickoryshore/statesync/prefix_follower.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace hickoryshore;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start = Instant{} + 100s;
+
+struct Fixture
+{
+    PrefixFollower follower{1};
+    std::vector<FollowerAction> actions;
+
+    /// The actions of one kind, in their order; all actions are forgotten.
+    template<typename Action>
+    std::vector<Action> take()
+    {
+        std::vector<Action> found;
+        for (const FollowerAction &action : this->actions) {
+            if (const auto *wanted = std::get_if<Action>(&action)) {
+                found.push_back(*wanted);
+            }
+        }
+        this->actions.clear();
+        return found;
+    }
+
+    void list(std::uint64_t asOf)
+    {
+        this->follower.start(start, this->actions);
+        this->follower.onPage(start, {.items = {{"a", "1", 3}, {"b", "2", 4}}, .asOf = asOf}, this->actions);
+        this->actions.clear();
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(prefix_follower, Fixture)
+
+BOOST_AUTO_TEST_CASE(a_listing_of_several_pages_is_taken_whole_and_watched_from_its_first_page)
+{
+    this->follower.start(start, this->actions);
+    BOOST_TEST(this->take<ListKeys>().at(0).after.empty());
+    this->follower.onPage(start, {.items = {{"a", "1", 3}}, .hasMore = true, .asOf = 10}, this->actions);
+    BOOST_TEST(this->take<ListKeys>().at(0).after == "a");
+    this->follower.onPage(start, {.items = {{"b", "2", 11}}, .asOf = 12}, this->actions);
+    const auto actions = this->actions;
+    BOOST_TEST(this->take<TakeListing>().at(0).items.size() == 2);
+    this->actions = actions;
+    BOOST_TEST(this->take<WatchKeys>().at(0).after == 10);
+}
+
+BOOST_AUTO_TEST_CASE(changes_are_taken_once)
+{
+    this->list(10);
+    this->follower.onChanges(start, {.changes = {{"a", "old", 3}, {"b", std::nullopt, 11}}, .asOf = 11}, this->actions);
+    const auto changes = this->take<TakeChange>();
+    BOOST_TEST(changes.size() == 1);
+    BOOST_TEST(changes.at(0).change.key == "b");
+    BOOST_TEST(!changes.at(0).storeWasAway);
+    BOOST_TEST(this->follower.asOf() == 11);
+}
+
+BOOST_AUTO_TEST_CASE(lost_history_leads_to_a_new_listing)
+{
+    this->list(10);
+    this->follower.onFailure(start, StoreFailure::HistoryGone, this->actions);
+    BOOST_TEST(this->take<ListKeys>().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_store_that_is_away_is_asked_again_and_marks_what_vanished)
+{
+    this->list(10);
+    this->follower.onFailure(start, StoreFailure::Unavailable, this->actions);
+    BOOST_TEST(this->follower.isCutOff());
+    BOOST_TEST(!this->take<StoreReachable>().at(0).reachable);
+    const Instant retry = this->follower.nextTimer().value();
+    BOOST_TEST((retry > start && retry <= start + 100ms));
+    this->follower.onTimer(retry, this->actions);
+    BOOST_TEST(this->take<WatchKeys>().at(0).after == 10);
+    this->follower.onChanges(retry, {.changes = {{"a", std::nullopt, 12}}, .asOf = 12}, this->actions);
+    BOOST_TEST(!this->follower.isCutOff());
+    BOOST_TEST(this->take<TakeChange>().at(0).storeWasAway);
+}
+
+BOOST_AUTO_TEST_CASE(a_store_that_answers_from_an_older_state_takes_nothing_back)
+{
+    this->list(10);
+    this->follower.onFailure(start, StoreFailure::HistoryGone, this->actions);
+    this->actions.clear();
+    this->follower.onPage(start, {.items = {}, .asOf = 9}, this->actions);
+    BOOST_TEST(this->take<TakeListing>().empty());
+    BOOST_TEST(this->follower.items().size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_peer_hands_over_only_what_is_newer)
+{
+    this->follower.start(start, this->actions);
+    this->follower.onFailure(start, StoreFailure::Unavailable, this->actions);
+    this->actions.clear();
+    this->follower.onPeerState(start, {.items = {{"a", "1", 3}}, .asOf = 7}, this->actions);
+    BOOST_TEST(this->take<TakeListing>().size() == 1);
+    this->follower.onPeerState(start, {.items = {}, .asOf = 7}, this->actions);
+    BOOST_TEST(this->take<TakeListing>().empty());
+    this->follower.onTimer(start + 1s, this->actions);
+    BOOST_TEST(this->take<WatchKeys>().at(0).after == 7);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/hickoryshore/upstream/client_socket.cpp
+++ b/src/hickoryshore/upstream/client_socket.cpp
@@ -2,7 +2,9 @@
 
 #include "hickoryshore/http/http_client.h"
 
+#include <algorithm>
 #include <cerrno>
+#include <cstdint>
 #include <memory>
 #include <stdexcept>
 #include <string>
@@ -15,6 +17,13 @@
 
 namespace hickoryshore {
 
+namespace {
+
+/// Probes without an answer after which a connection counts as lost.
+constexpr int unansweredProbes = 2;
+
+} // namespace
+
 int startConnecting(std::string_view address)
 {
     HostPort target;
@@ -45,6 +54,16 @@
     return descriptor;
 }
 
+void probeWhileIdle(int descriptor, Duration interval)
+{
+    const int on = 1;
+    const int seconds = static_cast<int>(std::max<std::int64_t>(1, interval / std::chrono::seconds(1)));
+    setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof(seconds));
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof(seconds));
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &unansweredProbes, sizeof(unansweredProbes));
+}
+
 bool hasOpened(int descriptor)
 {
     int error = 0;
--- a/src/hickoryshore/upstream/upstream_connections_test.cpp
+++ b/src/hickoryshore/upstream/upstream_connections_test.cpp
@@ -177,7 +177,7 @@
 {
     // Each connection answers once and is silent then. The one used last is used again; its sibling is the spare.
     const BytesServer server({okReply}, 1);
-    UpstreamPool pool({.connectionsPerReplica = 3, .warmSpare = true});
+    UpstreamPool pool({.connectionsPerServer = 3, .warmSpare = true});
     BOOST_TEST((callAndWait(pool, server.replica()).code == ResultCode::Ok));
     BOOST_TEST(becomesTrue([&pool] {
         return pool.counts().open == 2;
@@ -214,7 +214,7 @@
 BOOST_AUTO_TEST_CASE(a_spare_connection_is_opened_within_the_bound)
 {
     const BytesServer server({okReply});
-    UpstreamPool pool({.connectionsPerReplica = 2, .warmSpare = true});
+    UpstreamPool pool({.connectionsPerServer = 2, .warmSpare = true});
     for (int number = 0; number < 10; ++number) {
         BOOST_TEST((callAndWait(pool, server.replica()).code == ResultCode::Ok));
     }
@@ -223,7 +223,7 @@
     }));
     BOOST_TEST(pool.counts().opened == 2U);
 
-    UpstreamPool bounded({.connectionsPerReplica = 1, .warmSpare = true});
+    UpstreamPool bounded({.connectionsPerServer = 1, .warmSpare = true});
     BOOST_TEST((callAndWait(bounded, server.replica()).code == ResultCode::Ok));
     BOOST_TEST((callAndWait(bounded, server.replica()).code == ResultCode::Ok));
     BOOST_TEST(bounded.counts().opened == 1U);
@@ -241,7 +241,7 @@
 {
     const BytesServer server({okReply});
     EventLoop loop{0};
-    UpstreamPool pool(loop, {.connectionsPerReplica = 1});
+    UpstreamPool pool(loop, {.connectionsPerServer = 1});
     std::vector<ResultCode> codes;
     const auto note = [&codes, &loop](const UpstreamReply &reply) {
         codes.push_back(reply.code);
--- a/src/hickoryshore/upstream/upstream_pool.cpp
+++ b/src/hickoryshore/upstream/upstream_pool.cpp
@@ -1,7 +1,9 @@
 #include "hickoryshore/upstream/upstream_pool.h"
 
-#include "hickoryshore/upstream/upstream_connections.h"
+#include "hickoryshore/http1/http_exchange.h"
 
+#include <optional>
+#include <stdexcept>
 #include <thread>
 #include <utility>
 
@@ -11,17 +13,58 @@
 
 constexpr Duration cancelTimeout = std::chrono::milliseconds(200);
 
-void cancelNow(UpstreamConnections &connections, const ReplicaId &replica, std::string_view attemptId)
+ResultCode codeOfFailure(HttpFailure failure)
 {
-    if (connections.dropWaiting(replica, attemptId)) {
-        return;
+    switch (failure) {
+    case HttpFailure::Connect:
+        return ResultCode::ConnectFailed;
+    case HttpFailure::Closed:
+        return ResultCode::ConnectionLost;
+    case HttpFailure::Timeout:
+        return ResultCode::ConnectionSilent;
+    case HttpFailure::Malformed:
+        return ResultCode::UpstreamGarbage;
+    }
+    return ResultCode::UpstreamGarbage;
+}
+
+UpstreamReply replyOf(const HttpExchangeEnd &end, std::string_view attemptId)
+{
+    if (!end.failure.has_value()) {
+        return parseUpstreamReply(attemptId, end.response.status, end.response.body);
+    }
+    const ResultCode code = end.dropped ? ResultCode::Cancelled : codeOfFailure(*end.failure);
+    return {.code = code, .snapshot = {}, .result = {}, .report = {}};
+}
+
+void tellHealth(const HealthCompletion &completion, const HttpExchangeEnd &end)
+{
+    std::optional<UpstreamReport> report;
+    try {
+        if (!end.failure.has_value()) {
+            report = parseUpstreamHealth(end.response.body);
+        }
+    } catch (const std::invalid_argument &) {
+        // Told as no answer.
     }
-    UpstreamExchange exchange;
-    exchange.method = "DELETE";
-    exchange.path = "/v1/sub-requests/" + std::string(attemptId);
+    completion(report.has_value() ? &*report : nullptr);
+}
+
+HttpExchange cancellation(const ReplicaId &replica, std::string_view attemptId)
+{
+    HttpExchange exchange;
+    exchange.request
+        = formatHttpRequest("DELETE", "/v1/sub-requests/" + std::string(attemptId), replica.value, std::string_view());
     exchange.timeout = cancelTimeout;
-    // A replica with every connection in use finishes the attempt on its own.
-    connections.start(replica, std::move(exchange));
+    return exchange;
+}
+
+void cancelNow(HttpConnections &connections, const ReplicaId &replica, std::string_view attemptId)
+{
+    if (!connections.dropWaiting(replica.value, attemptId)) {
+        // A replica with every connection in use finishes the attempt on its own.
+        connections.start(replica.value, cancellation(replica, attemptId));
+    }
 }
 
 } // namespace
@@ -33,12 +76,12 @@
 };
 
 UpstreamPool::UpstreamPool(EventLoop &loop, UpstreamPoolSettings settings)
-    : connections(std::make_shared<UpstreamConnections>(loop, settings))
+    : connections(std::make_shared<HttpConnections>(loop, settings))
 { }
 
 UpstreamPool::UpstreamPool(UpstreamPoolSettings settings)
     : ownLoop(std::make_unique<OwnLoop>()),
-      connections(std::make_shared<UpstreamConnections>(this->ownLoop->loop, settings))
+      connections(std::make_shared<HttpConnections>(this->ownLoop->loop, settings))
 {
     this->ownLoop->thread = std::thread([loop = &this->ownLoop->loop] {
         loop->run();
@@ -56,36 +99,41 @@
 void UpstreamPool::limitConnections(const ReplicaId &replica, int limit)
 {
     if (this->ownLoop == nullptr) {
-        this->connections->setLimit(replica, limit);
+        this->connections->setLimit(replica.value, limit);
         return;
     }
     this->ownLoop->loop.post([connections = this->connections.get(), replica, limit] {
-        connections->setLimit(replica, limit);
+        connections->setLimit(replica.value, limit);
     });
 }
 
-void UpstreamPool::start(const ReplicaId &replica, UpstreamExchange exchange)
+void UpstreamPool::start(const ReplicaId &replica, HttpExchange exchange)
 {
     if (this->ownLoop == nullptr) {
-        this->connections->start(replica, std::move(exchange));
+        this->connections->start(replica.value, std::move(exchange));
         return;
     }
     this->ownLoop->loop.post([connections = this->connections.get(), replica, exchange = std::move(exchange)] {
-        connections->start(replica, exchange);
+        connections->start(replica.value, exchange);
     });
 }
 
 void UpstreamPool::call(
     const ReplicaId &replica, UpstreamRequest request, Duration timeout, bool proven, UpstreamCompletion completion)
 {
-    UpstreamExchange exchange;
-    exchange.method = "POST";
-    exchange.path = "/v1/sub-requests";
-    exchange.body = formatUpstreamRequest(request);
+    HttpExchange exchange;
+    exchange.request
+        = formatHttpRequest("POST", "/v1/sub-requests", replica.value, formatUpstreamRequest(request));
     exchange.timeout = timeout;
     exchange.proven = proven;
-    exchange.attemptId = std::move(request.attemptId);
-    exchange.onReply = std::move(completion);
+    exchange.waits = true;
+    exchange.tag = std::move(request.attemptId);
+    exchange.belongs = [attempt = exchange.tag](const UpstreamHttpResponse &response) {
+        return parseUpstreamReply(attempt, response.status, response.body).code != ResultCode::EchoMismatch;
+    };
+    exchange.onEnd = [attempt = exchange.tag, completion = std::move(completion)](const HttpExchangeEnd &end) {
+        completion(replyOf(end, attempt));
+    };
     this->start(replica, std::move(exchange));
 }
 
@@ -102,11 +150,12 @@
 
 void UpstreamPool::readHealth(const ReplicaId &replica, Duration timeout, HealthCompletion completion)
 {
-    UpstreamExchange exchange;
-    exchange.method = "GET";
-    exchange.path = "/v1/health";
+    HttpExchange exchange;
+    exchange.request = formatHttpRequest("GET", "/v1/health", replica.value, std::string_view());
     exchange.timeout = timeout;
-    exchange.onHealth = std::move(completion);
+    exchange.onEnd = [completion = std::move(completion)](const HttpExchangeEnd &end) {
+        tellHealth(completion, end);
+    };
     this->start(replica, std::move(exchange));
 }
 
--- a/src/hickoryshore/upstream/upstream_pool_test.cpp
+++ b/src/hickoryshore/upstream/upstream_pool_test.cpp
@@ -55,7 +55,7 @@
 BOOST_AUTO_TEST_CASE(a_silent_connection_is_never_reused)
 {
     const HttpServer server({.port = testPort}, answer);
-    UpstreamPool pool({.connectionsPerReplica = 1});
+    UpstreamPool pool({.connectionsPerServer = 1});
     BOOST_TEST((callAndWait(pool, replica, "slow").code == ResultCode::ConnectionSilent));
     BOOST_TEST(callAndWait(pool, replica, "next").result == "next");
     BOOST_TEST(pool.counts().opened == 2U);
@@ -65,7 +65,7 @@
 BOOST_AUTO_TEST_CASE(an_unproven_connection_is_replaced_for_a_non_idempotent_request)
 {
     const HttpServer server({.port = testPort}, answer);
-    UpstreamPool pool({.connectionsPerReplica = 1, .provenFor = 1ms});
+    UpstreamPool pool({.connectionsPerServer = 1, .provenFor = 1ms});
     callAndWait(pool, replica, "first");
     std::this_thread::sleep_for(5ms);
     BOOST_TEST(callAndWait(pool, replica, "second", true).result == "second");
@@ -107,7 +107,7 @@
 BOOST_AUTO_TEST_CASE(calls_beyond_the_connection_bound_wait_for_a_connection)
 {
     const HttpServer server({.port = testPort}, answer);
-    UpstreamPool pool({.connectionsPerReplica = 2});
+    UpstreamPool pool({.connectionsPerServer = 2});
     BOOST_TEST((codesOfFiveSlowCalls(pool, 10s) == std::map<ResultCode, int>{{ResultCode::Ok, 5}}));
     BOOST_TEST(pool.counts().opened == 2U);
 }
@@ -115,7 +115,7 @@
 BOOST_AUTO_TEST_CASE(a_call_that_got_no_connection_within_its_timeout_did_not_run)
 {
     const HttpServer server({.port = testPort}, answer);
-    UpstreamPool pool({.connectionsPerReplica = 2});
+    UpstreamPool pool({.connectionsPerServer = 2});
     const std::map<ResultCode, int> codes = codesOfFiveSlowCalls(pool, 100ms);
     BOOST_TEST((codes == std::map<ResultCode, int>{{ResultCode::ConnectFailed, 3}, {ResultCode::ConnectionSilent, 2}}));
     BOOST_TEST(pool.counts().opened == 2U);
@@ -128,7 +128,7 @@
         requests += request.method == "POST" ? 1 : 0;
         return answer(request);
     });
-    UpstreamPool pool({.connectionsPerReplica = 1});
+    UpstreamPool pool({.connectionsPerServer = 1});
     std::promise<ResultCode> first;
     std::promise<ResultCode> second;
     pool.call(replica, {.attemptId = "a", .query = "slow"}, 10s, false, [&first](const UpstreamReply &reply) {
--- a/src/hickoryshore/upstream/upstream_protocol_fuzz.cpp
+++ b/src/hickoryshore/upstream/upstream_protocol_fuzz.cpp
@@ -1,5 +1,5 @@
 // Feeds arbitrary text to the readers of the upstream's protocol, and of the HTTP responses that carry it.
-#include "hickoryshore/upstream/http_exchange.h"
+#include "hickoryshore/http1/http_exchange.h"
 #include "hickoryshore/upstream/upstream_protocol.h"
 
 #include <stdexcept>
