--- a/include/hickoryshore/dispatch/endpoint_table.h
+++ b/include/hickoryshore/dispatch/endpoint_table.h
@@ -71,8 +71,8 @@
     /// Takes the whole list of replicas. What is known of those that stay is kept.
     void setReplicas(Instant now, std::span<const DirectReplica> replicas);
 
-    /// Sets the fleet's budget of extra attempts, and by how many VMs it is shared.
-    void setRepeatBudget(const RepeatBudget &budget, int sharers);
+    /// Sets the fleet's budget of extra attempts, and this VM's share of its slack, from 0 to 1.
+    void setRepeatBudget(const RepeatBudget &budget, double share);
 
     /// The replica to call next, none of those excluded; nothing where there is none.
     std::optional<EndpointId> choose(Instant now,
@@ -139,7 +139,7 @@
     std::unordered_map<EndpointId, Endpoint> endpoints;
     std::unordered_map<ServiceId, Service> services;
     RepeatBudget budget;
-    int budgetSharers = 1;
+    double budgetShare = 1.0;
     std::minstd_rand random;
 };
 
--- a/include/hickoryshore/entry/entry_settings.h
+++ b/include/hickoryshore/entry/entry_settings.h
@@ -24,6 +24,7 @@
     std::string readinessListen; ///< "ip:port" for readiness checks.
     std::string peerListen; ///< "ip:port" for other VMs and for metrics.
     int membershipPort = 0; ///< UDP.
+    int capacity = 0; ///< Processor, in thousandths of a core.
     std::vector<std::string> seeds; ///< IP numbers of some VMs; those that are gone do no harm.
     Duration gracePeriod{std::chrono::seconds(6)}; ///< From the order to leave until the process is killed.
     RepeatBudget repeats;
--- a/include/hickoryshore/entry/entry_vm.h
+++ b/include/hickoryshore/entry/entry_vm.h
@@ -32,6 +32,7 @@
     void answerPeer(HttpCallId call, const HttpServerRequest &request);
     EntryPoints entryPointsFor(const CallerPlace &place);
     MembershipHooks membershipHooks();
+    void updateShare();
     void onView(const std::shared_ptr<const MembershipView> &view);
     void onRouteTable(const std::shared_ptr<const RouteTable> &table);
     void logMember(const MemberChangedAction &change) const;
@@ -53,7 +54,8 @@
     std::shared_ptr<const MembershipView> members;
     std::unique_ptr<MembershipService> membership;
     ShutdownState shutdown;
-    std::size_t largestFleet = 1;
+    std::vector<Member> largestFleet; ///< Of all that were seen.
+    bool fleetLearnt = false;
     bool wasReady = false;
 };
 
--- a/include/hickoryshore/entry/request_service.h
+++ b/include/hickoryshore/entry/request_service.h
@@ -38,8 +38,8 @@
     void setRouteTable(std::shared_ptr<const RouteTable> table);
     void setReplicas(const ReplicaRegistry &registry);
 
-    /// Sets how many VMs share the replicas' connections and the budget of extra attempts.
-    void setFleetSize(int vms);
+    /// Sets this VM's share, from 0 to 1, of the replicas' connections and of the budget of extra attempts.
+    void setShare(double share);
 
     void onRequest(HttpCallId call, HttpServerRequest request);
     void onClientLeft(HttpCallId call);
@@ -47,8 +47,8 @@
     std::size_t inFlight() const;
     HttpConnectionCounts connections() const;
 
-    /// Regions that hold replicas of sharded routes, with their number.
-    std::unordered_map<RegionId, int> shardRegions() const;
+    /// How many replicas each region holds.
+    ReplicasByRegion replicasByRegion() const;
 
 private:
     /// How a request is passed on; only the remaining time and the expected replica differ between its attempts.
@@ -100,6 +100,9 @@
     RouteLatency &latencyOf(const Route &route);
 
     void perform(HttpCallId call, std::vector<RunAction> &actions);
+    std::optional<std::string> requestBytes(const Forwarding &forwarding,
+                                            std::string_view replica,
+                                            Instant deadline) const;
     void send(HttpCallId call, ActiveRequest &active, const SendAttempt &action);
     void drop(const DropAttempt &action);
     void finish(HttpCallId call, const FinishRun &outcome);
@@ -126,12 +129,12 @@
     std::shared_ptr<const RouteTable> routeTable;
     std::unordered_map<RouteId, std::unique_ptr<RouteLatency>> latencies;
     std::unordered_map<EndpointId, Replica> replicas;
-    std::unordered_map<RegionId, int> regionsOfShards;
+    ReplicasByRegion regionReplicas;
     std::shared_ptr<HttpConnections> upstream;
     std::unordered_map<HttpCallId, ActiveRequest> active;
     std::unordered_map<AttemptId, ActiveAttempt> attempts;
     std::uint64_t lastAttempt = 0;
-    int fleetSize = 1;
+    double fleetShare = 1.0;
 };
 
 } // namespace hickoryshore
--- a/include/hickoryshore/entry/state_service.h
+++ b/include/hickoryshore/entry/state_service.h
@@ -3,16 +3,19 @@
 #pragma once
 
 #include "hickoryshore/entry/entry_dialect.h"
+#include "hickoryshore/entry/store_sharing.h"
 #include "hickoryshore/eventloop/event_loop.h"
+#include "hickoryshore/httpserver/http_listener.h"
 #include "hickoryshore/membership/member.h"
-#include "hickoryshore/upstream/http_connections.h"
 
 #include <array>
+#include <cstdint>
 #include <functional>
 #include <memory>
-#include <random>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace hickoryshore {
 
@@ -27,7 +30,7 @@
 class StateService
 {
 public:
-    /// `peerPort` is where other VMs answer for encodeState().
+    /// `peerPort` is where other VMs answer what answerPeer() answers here.
     StateService(EventLoop &loop,
                  const EntryDialect &dialect,
                  StoreAccess store,
@@ -43,8 +46,8 @@
     /// A peer has a newer configuration; asked for if the store does not bring it soon.
     void onRevisionHeard(Revision revision, const VmId &from);
 
-    /// The state for a peer that has the given revisions ("CONFIGURATION,REPLICAS"); empty where it has nothing newer.
-    std::string encodeState(std::string_view haveRevisions) const;
+    /// Answers another VM that follows the store by way of this one: at once, or when something changes.
+    void answerPeer(const PeerStoreRequest &request, std::function<void(const HttpAnswer &)> answer);
 
     /// Whether routes and replicas are known.
     bool isComplete() const;
@@ -76,28 +79,35 @@
     ListedReplica readReplica(std::string_view key, std::string_view text) const;
     void expireReplicas();
 
-    void askPeerIfNeeded();
-    void askPeer(const Member &peer);
-    void takePeerState(std::string_view body, const std::string &peer);
+    /// A VM that waits for changes.
+    struct WaitingPeer
+    {
+        Followed which;
+        std::uint64_t after = 0;
+        Instant until;
+        std::function<void(const HttpAnswer &)> answer;
+    };
+
+    void askPeerIfLate();
+    void takePeerState(Followed which, PageResult result, const std::string &peer);
+    std::optional<HttpAnswer> changesFor(Followed which, std::uint64_t after, bool evenNone) const;
+    void answerWaiting();
 
     EventLoop &loop;
     const EntryDialect &dialect;
-    StoreAccess store;
-    int peerPort;
+    StoreSharing store;
+    StoreAccess calls;
     StateHooks hooks;
-    std::minstd_rand random;
     std::array<Prefix, FollowedCount> prefixes;
     std::vector<FollowerAction> actions;
     std::shared_ptr<const RouteTable> routes;
     Revision routesRevision;
     ReplicaRegistry registry;
     std::shared_ptr<const MembershipView> members;
-    std::shared_ptr<HttpConnections> peers;
+    std::vector<WaitingPeer> waiting;
     Revision heardRevision;
     VmId heardFrom;
     Instant heardAt;
-    Instant startedAt;
-    bool asking = false;
 };
 
 } // namespace hickoryshore
--- /dev/null
+++ b/include/hickoryshore/entry/store_sharing.h
@@ -0,0 +1,75 @@
+// Lets few VMs of a large fleet call the platform's store, and the others follow those: the store counts each call, and
+// its rates grow more slowly than the fleet.
+#pragma once
+
+#include "hickoryshore/entry/entry_dialect.h"
+#include "hickoryshore/eventloop/event_loop.h"
+#include "hickoryshore/membership/member.h"
+#include "hickoryshore/upstream/http_connections.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hickoryshore {
+
+/// The VMs of a data centre that call the store themselves, best first; all of its VMs in a small fleet. Those with the
+/// most processor come first, since the others read from them.
+std::vector<VmId> storeReaders(const MembershipView &view, const DataCentreId &dataCentre);
+
+/// The VM from which to follow the store; nothing where it is to be called directly. `failures` counts the calls that
+/// failed in a row: each leads to the next source, and every third one to the store itself.
+std::optional<Member> storeSource(const MembershipView &view, int failures, std::uint64_t random);
+
+/// Calls to the store, directly or by way of another VM. Lives on the loop's thread.
+class StoreSharing
+{
+public:
+    /// `peerPort` is where other VMs answer peerTarget() paths.
+    StoreSharing(EventLoop &loop, StoreAccess store, int peerPort, std::uint64_t seed);
+
+    void setMembers(std::shared_ptr<const MembershipView> view);
+
+    /// The calls as a follower makes them.
+    StoreAccess access();
+
+    /// Lists a prefix at one peer, whichever source is used otherwise.
+    void listAt(const Member &peer, std::string_view prefix, std::function<void(PageResult)> completion);
+
+private:
+    std::optional<Member> source();
+    void list(std::string_view prefix, std::string_view after, std::function<void(PageResult)> completion);
+    void watch(std::string_view prefix, std::uint64_t after, Duration wait, std::function<void(ChangesResult)> completion);
+    void count(bool failed);
+
+    EventLoop &loop;
+    StoreAccess store;
+    int peerPort;
+    std::mt19937_64 random;
+    std::shared_ptr<const MembershipView> members;
+    std::shared_ptr<HttpConnections> peers;
+    int failures = 0;
+};
+
+/// A request of one VM to another: what is under a prefix, or what changed there.
+struct PeerStoreRequest
+{
+    std::string prefix;
+    std::optional<std::uint64_t> changesAfter; ///< Nothing: list.
+    Duration wait{0};
+};
+
+/// The target of such a request, and back; nothing where the target is none.
+std::string peerTarget(const PeerStoreRequest &request);
+std::optional<PeerStoreRequest> parsePeerTarget(std::string_view target);
+
+/// The bodies of the answers.
+std::string encodePage(const StorePage &page);
+std::string encodeChanges(const StoreChanges &changes);
+
+} // namespace hickoryshore
--- a/include/hickoryshore/membership/member.h
+++ b/include/hickoryshore/membership/member.h
@@ -27,6 +27,7 @@
     int membershipPort = 0; ///< UDP.
     int peerPort = 0; ///< ZeroMQ.
     int httpPort = 0;
+    int capacity = 0; ///< Processor, in thousandths of a core; zero: not told.
     MemberState state = MemberState::Alive;
     std::uint64_t processId = 0; ///< Random for each process start, never zero in a running VM.
     WallTime started; ///< Start of the process; orders two processes of one VM.
--- a/include/hickoryshore/membership/message.h
+++ b/include/hickoryshore/membership/message.h
@@ -28,6 +28,7 @@
     int membershipPort = 0;
     int peerPort = 0;
     int httpPort = 0;
+    int capacity = 0; ///< Processor, in thousandths of a core; zero: not told.
 
     bool operator==(const MemberDescription &) const = default;
 };
--- a/include/hickoryshore/statesync/prefix_follower.h
+++ b/include/hickoryshore/statesync/prefix_follower.h
@@ -13,6 +13,7 @@
 #include "hickoryshore/base/time.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -37,6 +38,7 @@
     std::vector<StoreItem> items;
     bool hasMore = false;
     std::uint64_t asOf = 0; ///< The store's revision.
+    bool storeWasAway = false; ///< A peer tells this of the store that it follows.
 };
 
 /// A change of a key: without a value where it was removed.
@@ -52,6 +54,7 @@
 {
     std::vector<StoreChange> changes;
     std::uint64_t asOf = 0; ///< From here the next watch continues.
+    bool storeWasAway = false; ///< A peer tells this of the store that it follows.
 };
 
 /// Why a call to the store brought nothing. HistoryGone: the changes since the given revision are no longer known.
@@ -99,6 +102,10 @@
     /// within it, and those of live writers are back two seconds after.
     static constexpr Duration awayMemory = std::chrono::seconds(5);
 
+    /// Watches follow each other no faster than this: changes that come in quick succession are read together, since
+    /// the store counts each call.
+    static constexpr Duration watchInterval = std::chrono::milliseconds(300);
+
     /// The seed spreads the retries of several VMs.
     explicit PrefixFollower(std::uint64_t seed);
 
@@ -119,9 +126,15 @@
     /// Whether the last call to the store failed, or none has been answered yet.
     bool isCutOff() const;
 
+    /// Whether keys may have vanished only because the store was away.
+    bool wasAway(Instant now) const;
+
     /// The known state, for peers.
     std::vector<StoreItem> items() const;
 
+    /// The changes since a revision, for peers; nothing where they are no longer known.
+    std::optional<std::vector<StoreChange>> changesAfter(std::uint64_t revision) const;
+
 private:
     struct Value
     {
@@ -129,10 +142,9 @@
         std::uint64_t revision = 0;
     };
 
-    void next(std::vector<FollowerAction> &actions);
+    void next(Instant now, std::vector<FollowerAction> &actions);
     void answered(std::vector<FollowerAction> &actions);
     void adopt(Instant now, std::vector<StoreItem> items, std::uint64_t asOf, std::vector<FollowerAction> &actions);
-    bool wasAway(Instant now) const;
 
     std::map<std::string, Value, std::less<>> state;
     std::vector<StoreItem> listed; ///< Pages of a listing that is not complete.
@@ -140,8 +152,11 @@
     std::uint64_t knownAsOf = 0;
     bool mustList = true;
     bool reached = false;
+    std::deque<StoreChange> log; ///< The latest changes.
+    std::uint64_t logStart = 0; ///< All changes since this revision are in the log.
     int failures = 0; ///< In a row.
-    std::optional<Instant> retryAt;
+    Instant watchedAt; ///< When the last watch began.
+    std::optional<Instant> retryAt; ///< When the next call is due.
     std::optional<Instant> failedAt; ///< The last time.
     std::minstd_rand random;
 };
--- a/include/hickoryshore/upstream/http_connections.h
+++ b/include/hickoryshore/upstream/http_connections.h
@@ -60,6 +60,11 @@
 struct HttpExchange
 {
     std::string request; ///< As bytes.
+
+    /// Makes the request at the moment at which a connection takes it, for what depends on the time; nothing where it
+    /// is too late to send it. Empty: `request` stands already.
+    std::function<std::optional<std::string>()> makeRequest;
+
     Duration timeout{0};
     bool proven = false; ///< Only over a new connection or one proven alive.
     bool waits = false; ///< Waits for a connection where all that the bound allows are in use, rather than fail.
@@ -163,6 +168,7 @@
     void onReady(Id id, Readiness readiness);
     bool finishOpening(Id id, Connection &connection);
     void beginSending(Id id, Connection &connection);
+    void withdraw(Id id, Connection &connection);
     void sendMore(Id id, Connection &connection);
     void receive(Id id, Connection &connection, bool ended);
     bool receiveEnd(Id id, Connection &connection);
--- a/src/hickoryshore/dispatch/endpoint_table.cpp
+++ b/src/hickoryshore/dispatch/endpoint_table.cpp
@@ -45,7 +45,7 @@
 
 double EndpointTable::repeatReserve() const
 {
-    return sharedSlack * this->budget.slack / std::max(1, this->budgetSharers);
+    return sharedSlack * this->budget.slack * this->budgetShare;
 }
 
 double EndpointTable::repeatEarning() const
@@ -87,10 +87,10 @@
     });
 }
 
-void EndpointTable::setRepeatBudget(const RepeatBudget &changed, int sharers)
+void EndpointTable::setRepeatBudget(const RepeatBudget &changed, double share)
 {
     this->budget = changed;
-    this->budgetSharers = sharers;
+    this->budgetShare = share;
     for (auto &[id, service] : this->services) {
         service.repeats.setEarning(this->repeatEarning());
         service.repeats.setReserve(this->repeatReserve());
--- a/src/hickoryshore/dispatch/endpoint_table_test.cpp
+++ b/src/hickoryshore/dispatch/endpoint_table_test.cpp
@@ -28,7 +28,7 @@
         const std::vector<DirectReplica> replicas
             = {replica(near, Distance::SameRegion), replica(far, Distance::OtherRegion)};
         this->table.setReplicas(start, replicas);
-        this->table.setRepeatBudget({.ratio = 0.2, .slack = 100}, 10);
+        this->table.setRepeatBudget({.ratio = 0.2, .slack = 100}, 0.1);
         for (int sample = 0; sample < 200; ++sample) {
             this->latency.add(Distance::SameRegion, 8ms + Duration(sample * 10));
             this->latency.add(Distance::OtherRegion, 24ms + Duration(sample * 10));
@@ -105,7 +105,7 @@
     int taken = 0;
     for (int vm = 0; vm < 10; ++vm) {
         EndpointTable each(static_cast<std::uint64_t>(vm) + 1);
-        each.setRepeatBudget({.ratio = 0.2, .slack = 100}, 10);
+        each.setRepeatBudget({.ratio = 0.2, .slack = 100}, 0.1);
         for (int request = 0; request < 100; ++request) {
             each.countRequest(service);
             while (each.takeRepeat(service, request % 2 == 0)) {
--- a/src/hickoryshore/dispatch/request_run_test.cpp
+++ b/src/hickoryshore/dispatch/request_run_test.cpp
@@ -29,7 +29,7 @@
                                     .slots = 2});
             }
         }
-        this->table.setRepeatBudget({.ratio = 0.2, .slack = 100}, 4);
+        this->table.setRepeatBudget({.ratio = 0.2, .slack = 100}, 0.25);
         this->table.setReplicas(start, replicas);
     }
 
--- a/src/hickoryshore/entry/entry_vm.cpp
+++ b/src/hickoryshore/entry/entry_vm.cpp
@@ -25,8 +25,8 @@
 /// Kept back from the grace period, so that the process has ended before it is killed.
 constexpr Duration graceMargin = 700ms;
 constexpr Duration shutdownCheck = 50ms;
-/// Until the membership is known, the budgets are divided as if the fleet had this size.
-constexpr std::size_t assumedFleet = 24;
+/// Until the membership is known, this VM takes so small a share of what the fleet divides.
+constexpr double firstShare = 1.0 / 24;
 constexpr Duration timeToLearnFleet = 5s;
 /// One peer is probed in each; a VM that is silent is suspected, and not named to callers, 350 ms after its probe.
 constexpr Duration probePeriod = 300ms;
@@ -124,14 +124,16 @@
                 .region = settings.region,
                 .address = settings.address,
                 .membershipPort = settings.membershipPort,
-                .httpPort = portOf(settings.callerListen)};
-    this->requests.setFleetSize(static_cast<int>(assumedFleet));
+                .httpPort = portOf(settings.callerListen),
+                .capacity = settings.capacity};
+    this->requests.setShare(firstShare);
     this->membership = std::make_unique<MembershipService>(
         loop,
         MembershipServiceSettings{.self = std::move(self), .seeds = seeds, .protocol = {.probePeriod = probePeriod}},
         this->membershipHooks());
     loop.after(timeToLearnFleet, [this] {
-        this->requests.setFleetSize(static_cast<int>(this->largestFleet));
+        this->fleetLearnt = true;
+        this->updateShare();
     });
     this->state.start();
     writeLog({.slice = slice,
@@ -194,16 +196,19 @@
 {
     this->members = view;
     this->state.setMembers(view);
-    const auto alive = static_cast<std::size_t>(std::ranges::count_if(view->members, [](const Member &member) {
-        return member.state != MemberState::Dead;
-    }));
-    // The largest fleet that was seen: members that seem gone may only be cut off from here, and go on using up theirs.
-    if (alive > this->largestFleet) {
-        this->largestFleet = alive;
-        this->requests.setFleetSize(static_cast<int>(std::max(alive, assumedFleet)));
+    // The largest fleet that was seen: members that seem gone may only be cut off from here, and go on using their share.
+    if (view->members.size() > this->largestFleet.size()) {
+        this->largestFleet = view->members;
+        this->updateShare();
     }
 }
 
+void EntryVm::updateShare()
+{
+    const double share = fleetShare(this->largestFleet, this->settings.vm);
+    this->requests.setShare(this->fleetLearnt ? share : std::min(share, firstShare));
+}
+
 void EntryVm::onRouteTable(const std::shared_ptr<const RouteTable> &table)
 {
     this->requests.setRouteTable(table);
@@ -214,8 +219,6 @@
     });
 }
 
-/// Callers whose region holds no replicas are sent to regions that do: one way to a VM there costs less than one for
-/// each shard.
 EntryPoints EntryVm::entryPointsFor(const CallerPlace &place)
 {
     MembershipView able{.self = this->members->self, .members = {}};
@@ -226,27 +229,10 @@
             able.members.push_back(member);
         }
     }
-    const auto regions = this->requests.shardRegions();
-    const auto held = [&regions](const RegionId &region) {
-        const auto found = regions.find(region);
-        return found == regions.end() ? 0 : found->second;
-    };
-    int most = 0;
-    for (const auto &[region, replicas] : regions) {
-        most = std::max(most, replicas);
-    }
-    const bool callerIsNear = 2 * held(place.region) >= most;
-    std::vector<Member> near;
-    for (const Member &member : able.members) {
-        if (callerIsNear ? member.region == place.region : 2 * held(member.region) >= most) {
-            near.push_back(member);
-        }
-    }
-    if (!near.empty()) {
-        able.members = std::move(near);
-    }
-    return chooseEntryPoints(
-        able, place, {.count = entryPointCount, .timeToLive = entryPointLifetime}, this->random());
+    return chooseEntryPoints(preferMembers(able, place, this->requests.replicasByRegion()),
+                             place,
+                             {.count = entryPointCount, .timeToLive = entryPointLifetime},
+                             this->random());
 }
 
 void EntryVm::answerEntryPoint(HttpCallId call, const HttpServerRequest &request)
@@ -277,10 +263,10 @@
 
 void EntryVm::answerPeer(HttpCallId call, const HttpServerRequest &request)
 {
-    constexpr std::string_view haveKey = "have=";
-    const std::string_view query = queryOf(request.target);
-    if (pathOf(request.target) == "/v1/state" && query.starts_with(haveKey)) {
-        this->peers.answer(call, {.body = this->state.encodeState(query.substr(haveKey.size()))});
+    if (const auto asked = parsePeerTarget(request.target)) {
+        this->state.answerPeer(*asked, [this, call](const HttpAnswer &answer) {
+            this->peers.answer(call, answer);
+        });
     } else if (pathOf(request.target) == "/metrics") {
         this->peers.answer(call, {.headers = {{"Content-Type", "text/plain"}}, .body = this->metricsText()});
     } else {
--- a/src/hickoryshore/entry/request_service.cpp
+++ b/src/hickoryshore/entry/request_service.cpp
@@ -24,6 +24,8 @@
 constexpr Duration comeBackUnready = 300ms;
 /// Of the connections that a replica accepts, the part that is divided between the VMs.
 constexpr double sharedConnections = 0.85;
+/// Room for the header fields that this VM adds.
+constexpr std::size_t addedHeaderBytes = 128;
 constexpr std::string_view slice = "entry";
 
 Duration parseMilliseconds(std::optional<std::string_view> text, Duration otherwise)
@@ -60,13 +62,13 @@
           loop,
           HttpConnectionSettings{.responses = {.withoutLength = true, .excess = true, .keepHeaders = true}}))
 {
-    this->setFleetSize(1);
+    this->setShare(1.0);
 }
 
-void RequestService::setFleetSize(int vms)
+void RequestService::setShare(double share)
 {
-    this->fleetSize = std::max(1, vms);
-    this->table.setRepeatBudget(this->settings.repeats, this->fleetSize);
+    this->fleetShare = share;
+    this->table.setRepeatBudget(this->settings.repeats, share);
     if (this->routeTable != nullptr) {
         this->setRouteTable(this->routeTable);
     }
@@ -78,7 +80,7 @@
     this->routes.emplace(this->routeTable);
     std::unordered_map<ServiceId, int> limits;
     for (const ServiceLimits &service : this->routeTable->services) {
-        const double share = sharedConnections * service.connectionsPerReplica / this->fleetSize;
+        const double share = sharedConnections * service.connectionsPerReplica * this->fleetShare;
         limits[service.service] = std::max(1, static_cast<int>(share));
     }
     for (const auto &[endpoint, replica] : this->replicas) {
@@ -93,7 +95,7 @@
 {
     std::vector<DirectReplica> direct;
     this->replicas.clear();
-    this->regionsOfShards.clear();
+    this->regionReplicas.clear();
     for (const auto &[name, replica] : registry.replicas()) {
         const ReplicaRecord &record = replica.record;
         const auto region = this->settings.regions.find(record.dataCentre);
@@ -108,7 +110,7 @@
         this->replicas[replica.endpoint]
             = {.name = replica.name, .address = record.address, .service = record.service};
         if (region != this->settings.regions.end()) {
-            ++this->regionsOfShards[region->second];
+            ++this->regionReplicas[region->second];
         }
     }
     this->table.setReplicas(monotonicNow(), direct);
@@ -241,17 +243,32 @@
     }
 }
 
+/// The request as it goes to a replica now; nothing where its time is over.
+std::optional<std::string> RequestService::requestBytes(const Forwarding &forwarding,
+                                                        std::string_view replica,
+                                                        Instant deadline) const
+{
+    const Duration remaining = deadline - monotonicNow();
+    if (remaining < 1ms) {
+        return std::nullopt;
+    }
+    std::string bytes;
+    bytes.reserve(forwarding.head.size() + forwarding.tail.size() + addedHeaderBytes);
+    bytes = forwarding.head;
+    appendHeader(bytes, this->dialect.headers.remainingMilliseconds, milliseconds(remaining));
+    appendHeader(bytes, this->dialect.headers.expectedReplica, replica);
+    bytes += forwarding.tail;
+    return bytes;
+}
+
 void RequestService::send(HttpCallId call, ActiveRequest &request, const SendAttempt &action)
 {
     const Replica &replica = this->replicas.at(action.endpoint);
     const Forwarding &forwarding = *request.forwarding;
     HttpExchange exchange;
-    exchange.request.reserve(forwarding.head.size() + forwarding.tail.size() + 128);
-    exchange.request = forwarding.head;
-    appendHeader(
-        exchange.request, this->dialect.headers.remainingMilliseconds, milliseconds(std::max(action.remaining, Duration(1ms))));
-    appendHeader(exchange.request, this->dialect.headers.expectedReplica, replica.name);
-    exchange.request += forwarding.tail;
+    exchange.makeRequest = [this, shared = request.forwarding, name = replica.name, deadline = monotonicNow() + action.remaining] {
+        return this->requestBytes(*shared, name, deadline);
+    };
     exchange.timeout = action.remaining + strayLimit;
     exchange.proven = action.provenConnection;
     exchange.waits = true;
@@ -467,9 +484,9 @@
     return this->upstream->counts();
 }
 
-std::unordered_map<RegionId, int> RequestService::shardRegions() const
+ReplicasByRegion RequestService::replicasByRegion() const
 {
-    return this->regionsOfShards;
+    return this->regionReplicas;
 }
 
 } // namespace hickoryshore
--- a/src/hickoryshore/entry/state_service.cpp
+++ b/src/hickoryshore/entry/state_service.cpp
@@ -4,10 +4,8 @@
 #include "hickoryshore/log/log.h"
 
 #include <algorithm>
-#include <charconv>
 #include <stdexcept>
-
-#include "state.pb.h"
+#include <utility>
 
 namespace hickoryshore {
 
@@ -17,20 +15,16 @@
 
 /// A watch that waits is one call to the store, however long it waits; the store allows 30 s.
 constexpr Duration watchWait = 20s;
-/// How often it is checked whether a peer has to be asked, and after which time without the store it is.
-constexpr Duration peerCheck = 250ms;
-constexpr Duration patienceWithStore = 400ms;
-constexpr Duration peerTimeout = 1s;
-constexpr std::string_view statePath = "/v1/state?have=";
+/// The membership is waited for this long at the start: it tells whether the store is to be called at all.
+constexpr Duration patienceWithMembership = 400ms;
+/// How often waiting peers, lapsed replicas and news of a newer configuration are looked at.
+constexpr Duration periodicCheck = 250ms;
+/// After this time without a configuration that peers have, one of them is asked for it.
+constexpr Duration patienceWithSource = 400ms;
+constexpr int statusUnavailable = 503;
+constexpr int statusGone = 410;
 constexpr std::string_view slice = "state";
 
-std::uint64_t numberAt(std::string_view text)
-{
-    std::uint64_t number = 0;
-    std::from_chars(text.data(), text.data() + text.size(), number);
-    return number;
-}
-
 } // namespace
 
 StateService::StateService(EventLoop &loop,
@@ -41,24 +35,25 @@
                            StateHooks hooks)
     : loop(loop),
       dialect(dialect),
-      store(std::move(store)),
-      peerPort(peerPort),
+      store(loop, std::move(store), peerPort, seed),
+      calls(this->store.access()),
       hooks(std::move(hooks)),
-      random(static_cast<std::minstd_rand::result_type>(seed % (std::minstd_rand::modulus - 1) + 1)),
-      prefixes{Prefix{dialect.configurationKey, PrefixFollower(seed)}, Prefix{dialect.replicaPrefix, PrefixFollower(seed + 1)}},
-      peers(std::make_shared<HttpConnections>(loop, HttpConnectionSettings{.connectionsPerServer = 1, .idleLimit = 5s}))
+      prefixes{Prefix{dialect.configurationKey, PrefixFollower(seed)},
+               Prefix{dialect.replicaPrefix, PrefixFollower(seed + 1)}}
 { }
 
 void StateService::start()
 {
-    this->startedAt = monotonicNow();
-    for (const Followed which : {Configuration, Replicas}) {
-        this->prefixes[which].follower.start(this->startedAt, this->actions);
-        this->perform(which);
-    }
-    this->loop.every(peerCheck, [this] {
-        this->askPeerIfNeeded();
+    this->loop.after(patienceWithMembership, [this] {
+        for (const Followed which : {Configuration, Replicas}) {
+            this->prefixes[which].follower.start(monotonicNow(), this->actions);
+            this->perform(which);
+        }
+    });
+    this->loop.every(periodicCheck, [this] {
+        this->askPeerIfLate();
         this->expireReplicas();
+        this->answerWaiting();
     });
 }
 
@@ -69,6 +64,7 @@
         this->perform(which, action);
     }
     this->armTimer(which);
+    this->answerWaiting();
 }
 
 void StateService::perform(Followed which, FollowerAction &action)
@@ -92,7 +88,7 @@
 
 void StateService::list(Followed which, const ListKeys &call)
 {
-    this->store.list(this->prefixes[which].name, call.after, [this, which](PageResult result) {
+    this->calls.list(this->prefixes[which].name, call.after, [this, which](PageResult result) {
         PrefixFollower &follower = this->prefixes[which].follower;
         if (auto *page = std::get_if<StorePage>(&result)) {
             follower.onPage(monotonicNow(), std::move(*page), this->actions);
@@ -105,7 +101,7 @@
 
 void StateService::watch(Followed which, const WatchKeys &call)
 {
-    this->store.watch(this->prefixes[which].name, call.after, watchWait, [this, which](ChangesResult result) {
+    this->calls.watch(this->prefixes[which].name, call.after, watchWait, [this, which](ChangesResult result) {
         PrefixFollower &follower = this->prefixes[which].follower;
         if (auto *changes = std::get_if<StoreChanges>(&result)) {
             follower.onChanges(monotonicNow(), std::move(*changes), this->actions);
@@ -239,6 +235,7 @@
 void StateService::setMembers(std::shared_ptr<const MembershipView> view)
 {
     this->members = std::move(view);
+    this->store.setMembers(this->members);
 }
 
 void StateService::onRevisionHeard(Revision revision, const VmId &from)
@@ -252,99 +249,89 @@
     }
 }
 
-void StateService::askPeerIfNeeded()
+/// Asks the peer that told of a newer configuration, where the usual source does not bring it.
+void StateService::askPeerIfLate()
 {
     const Instant now = monotonicNow();
-    const bool late = this->heardRevision > this->routesRevision && now - this->heardAt > patienceWithStore;
-    const bool alone = this->isCutOff() && now - this->startedAt > patienceWithStore;
-    if (this->asking || this->members == nullptr || (!late && !alone)) {
+    if (this->members == nullptr || this->heardRevision <= this->routesRevision
+        || now - this->heardAt < patienceWithSource) {
         return;
     }
-    const Member *named = late ? findMember(*this->members, this->heardFrom) : nullptr;
-    if (named != nullptr && isUsable(*named)) {
-        this->askPeer(*named);
+    this->heardAt = now;
+    const Member *peer = findMember(*this->members, this->heardFrom);
+    if (peer == nullptr || !isUsable(*peer)) {
         return;
     }
-    std::vector<const Member *> able;
-    for (const Member &member : this->members->members) {
-        if (member.vm != this->members->self && isUsable(member) && member.configRevision.value > 0) {
-            able.push_back(&member);
-        }
-    }
-    if (!able.empty()) {
-        std::uniform_int_distribution<std::size_t> any(0, able.size() - 1);
-        this->askPeer(*able[any(this->random)]);
+    for (const Followed which : {Configuration, Replicas}) {
+        this->store.listAt(*peer, this->prefixes[which].name, [this, which, name = peer->vm.value](PageResult result) {
+            this->takePeerState(which, std::move(result), name);
+        });
     }
 }
 
-void StateService::askPeer(const Member &peer)
+void StateService::takePeerState(Followed which, PageResult result, const std::string &peer)
 {
-    this->asking = true;
-    const std::string server = peer.address + ":" + std::to_string(this->peerPort);
-    const std::string have = std::to_string(this->prefixes[Configuration].follower.asOf()) + ","
-        + std::to_string(this->prefixes[Replicas].follower.asOf());
-    HttpExchange exchange;
-    exchange.request = formatHttpRequest("GET", std::string(statePath) + have, server, {});
-    exchange.timeout = peerTimeout;
-    exchange.onEnd = [this, name = peer.vm.value](const HttpExchangeEnd &end) {
-        this->asking = false;
-        if (end.failure.has_value() || end.response.status != 200) {
-            writeLog({.level = LogLevel::Warn, .slice = slice, .event = "peerGaveNoState", .fields = {{"peer", name}}});
-        } else if (!end.response.body.empty()) {
-            this->takePeerState(end.response.body, name);
-        }
-    };
-    this->peers->start(server, std::move(exchange));
+    auto *page = std::get_if<StorePage>(&result);
+    writeLog({.level = page == nullptr ? LogLevel::Warn : LogLevel::Info,
+              .slice = slice,
+              .event = page == nullptr ? "peerGaveNoState" : "stateFromPeer",
+              .fields = {{"peer", peer},
+                         {"prefix", this->prefixes[which].name},
+                         {"asOf", std::to_string(page == nullptr ? 0 : page->asOf)},
+                         {"before", std::to_string(this->prefixes[which].follower.asOf())}}});
+    if (page != nullptr) {
+        this->prefixes[which].follower.onPeerState(monotonicNow(), std::move(*page), this->actions);
+        this->perform(which);
+    }
 }
 
-std::string StateService::encodeState(std::string_view haveRevisions) const
+void StateService::answerPeer(const PeerStoreRequest &request, std::function<void(const HttpAnswer &)> answer)
 {
-    const std::size_t comma = std::min(haveRevisions.find(','), haveRevisions.size() - 1);
-    const std::array<std::uint64_t, FollowedCount> have
-        = {numberAt(haveRevisions.substr(0, comma)), numberAt(haveRevisions.substr(comma + 1))};
-    wire::FollowedState state;
     for (const Followed which : {Configuration, Replicas}) {
-        const PrefixFollower &follower = this->prefixes[which].follower;
-        if (follower.asOf() <= have[which]) {
+        const Prefix &prefix = this->prefixes[which];
+        if (prefix.name != request.prefix || !prefix.listed) {
             continue;
         }
-        wire::FollowedPrefix &prefix = *state.add_prefixes();
-        prefix.set_prefix(this->prefixes[which].name);
-        prefix.set_as_of(follower.asOf());
-        for (const StoreItem &item : follower.items()) {
-            wire::FollowedKey &key = *prefix.add_keys();
-            key.set_key(item.key);
-            key.set_value(item.value);
-            key.set_revision(item.revision);
+        const Instant now = monotonicNow();
+        if (!request.changesAfter.has_value()) {
+            answer({.body = encodePage({.items = prefix.follower.items(),
+                                        .asOf = prefix.follower.asOf(),
+                                        .storeWasAway = prefix.follower.wasAway(now)})});
+        } else if (const auto changes = this->changesFor(which, *request.changesAfter, false)) {
+            answer(*changes);
+        } else {
+            this->waiting.push_back({which, *request.changesAfter, now + request.wait, std::move(answer)});
         }
+        return;
     }
-    return state.SerializeAsString();
+    answer({.status = statusUnavailable});
 }
 
-void StateService::takePeerState(std::string_view body, const std::string &peer)
+/// The answer to a peer that knows everything up to a revision; nothing where there is nothing new, unless wanted.
+std::optional<HttpAnswer> StateService::changesFor(Followed which, std::uint64_t after, bool evenNone) const
 {
-    wire::FollowedState state;
-    if (!state.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
-        writeLog({.level = LogLevel::Error, .slice = slice, .event = "peerStateUnreadable", .fields = {{"peer", peer}}});
-        return;
+    const PrefixFollower &follower = this->prefixes[which].follower;
+    auto changes = follower.changesAfter(after);
+    if (!changes.has_value()) {
+        return HttpAnswer{.status = statusGone};
     }
-    for (const wire::FollowedPrefix &prefix : state.prefixes()) {
-        for (const Followed which : {Configuration, Replicas}) {
-            if (this->prefixes[which].name != prefix.prefix()) {
-                continue;
-            }
-            StorePage page{.items = {}, .asOf = prefix.as_of()};
-            for (const wire::FollowedKey &key : prefix.keys()) {
-                page.items.push_back({key.key(), key.value(), key.revision()});
-            }
-            writeLog({.slice = slice,
-                      .event = "stateFromPeer",
-                      .fields = {{"peer", peer},
-                                 {"prefix", prefix.prefix()},
-                                 {"asOf", std::to_string(page.asOf)},
-                                 {"before", std::to_string(this->prefixes[which].follower.asOf())}}});
-            this->prefixes[which].follower.onPeerState(monotonicNow(), std::move(page), this->actions);
-            this->perform(which);
+    if (changes->empty() && !evenNone) {
+        return std::nullopt;
+    }
+    return HttpAnswer{.body = encodeChanges({.changes = std::move(*changes),
+                                             .asOf = std::max(after, follower.asOf()),
+                                             .storeWasAway = follower.wasAway(monotonicNow())})};
+}
+
+void StateService::answerWaiting()
+{
+    const Instant now = monotonicNow();
+    std::vector<WaitingPeer> due = std::exchange(this->waiting, {});
+    for (WaitingPeer &peer : due) {
+        if (const auto answer = this->changesFor(peer.which, peer.after, peer.until <= now)) {
+            peer.answer(*answer);
+        } else {
+            this->waiting.push_back(std::move(peer));
         }
     }
 }
--- /dev/null
+++ b/src/hickoryshore/entry/store_sharing.cpp
@@ -0,0 +1,302 @@
+#include "hickoryshore/entry/store_sharing.h"
+
+#include "hickoryshore/log/log.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "state.pb.h"
+
+namespace hickoryshore {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// In a fleet of at most this size each VM calls the store itself: that is the shortest way for a change.
+constexpr std::size_t smallFleet = 32;
+constexpr std::size_t readersPerDataCentre = 2;
+/// Every so many failures the store itself is tried.
+constexpr int sourcesBeforeStore = 3;
+/// A watch at a peer waits only so long, so that a peer that has stopped is noticed.
+constexpr Duration longestPeerWait = 2s;
+constexpr Duration peerTimeout = 800ms;
+
+constexpr int statusOk = 200;
+constexpr int statusGone = 410;
+constexpr std::string_view listPath = "/v1/store/list?prefix=";
+constexpr std::string_view watchPath = "/v1/store/watch?prefix=";
+constexpr std::string_view afterKey = "&after=";
+constexpr std::string_view waitKey = "&waitMs=";
+
+std::uint64_t numberAt(std::string_view text)
+{
+    std::uint64_t number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+std::optional<StorePage> decodePage(std::string_view body)
+{
+    wire::FollowedPrefix wire;
+    if (!wire.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+        return std::nullopt;
+    }
+    StorePage page{.items = {}, .asOf = wire.as_of(), .storeWasAway = wire.store_was_away()};
+    for (const wire::FollowedKey &key : wire.keys()) {
+        page.items.push_back({key.key(), key.value(), key.revision()});
+    }
+    return page;
+}
+
+std::optional<StoreChanges> decodeChanges(std::string_view body)
+{
+    wire::FollowedPrefix wire;
+    if (!wire.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+        return std::nullopt;
+    }
+    StoreChanges changes{.changes = {}, .asOf = wire.as_of(), .storeWasAway = wire.store_was_away()};
+    for (const wire::FollowedKey &key : wire.keys()) {
+        StoreChange change{.key = key.key(), .value = std::nullopt, .revision = key.revision()};
+        if (!key.removed()) {
+            change.value = key.value();
+        }
+        changes.changes.push_back(std::move(change));
+    }
+    return changes;
+}
+
+/// Makes one call to a peer.
+template<typename Result, typename Decoded>
+void call(HttpConnections &peers,
+          const std::string &server,
+          const PeerStoreRequest &request,
+          std::optional<Decoded> (*decode)(std::string_view),
+          std::function<void(Result)> completion)
+{
+    HttpExchange exchange;
+    exchange.request = formatHttpRequest("GET", peerTarget(request), server, {});
+    exchange.timeout = request.wait + peerTimeout;
+    exchange.onEnd = [decode, server, completion = std::move(completion)](const HttpExchangeEnd &end) {
+        if (!end.failure.has_value() && end.response.status == statusOk) {
+            if (std::optional<Decoded> decoded = decode(end.response.body)) {
+                completion(std::move(*decoded));
+                return;
+            }
+            writeLog({.level = LogLevel::Error,
+                      .slice = "state",
+                      .event = "peerAnswerUnreadable",
+                      .fields = {{"peer", server}}});
+        }
+        const bool gone = !end.failure.has_value() && end.response.status == statusGone;
+        completion(gone ? StoreFailure::HistoryGone : StoreFailure::Unavailable);
+    };
+    peers.start(server, std::move(exchange));
+}
+
+} // namespace
+
+std::vector<VmId> storeReaders(const MembershipView &view, const DataCentreId &dataCentre)
+{
+    std::vector<const Member *> able;
+    for (const Member &member : view.members) {
+        if (isUsable(member) && member.dataCentre == dataCentre) {
+            able.push_back(&member);
+        }
+    }
+    std::ranges::sort(able, [](const Member *left, const Member *right) {
+        return std::pair(-left->capacity, left->vm) < std::pair(-right->capacity, right->vm);
+    });
+    if (view.members.size() > smallFleet) {
+        able.resize(std::min(able.size(), readersPerDataCentre));
+    }
+    std::vector<VmId> readers;
+    for (const Member *member : able) {
+        readers.push_back(member->vm);
+    }
+    return readers;
+}
+
+std::optional<Member> storeSource(const MembershipView &view, int failures, std::uint64_t random)
+{
+    const Member *self = findMember(view, view.self);
+    if (self == nullptr || view.members.size() < 2) {
+        return std::nullopt;
+    }
+    const std::vector<VmId> own = storeReaders(view, self->dataCentre);
+    const bool isReader = std::ranges::find(own, view.self) != own.end();
+    // A reader goes to the store, and by turns to a peer while the store does not answer it.
+    if (isReader ? failures % 2 == 0 : failures % sourcesBeforeStore == sourcesBeforeStore - 1) {
+        return std::nullopt;
+    }
+    const bool anywhere = isReader || failures > 0;
+    std::vector<const Member *> sources;
+    std::vector<const Member *> informed;
+    for (const Member &member : view.members) {
+        if (member.vm == view.self || !isUsable(member) || (!anywhere && member.dataCentre != self->dataCentre)) {
+            continue;
+        }
+        const std::vector<VmId> readers = storeReaders(view, member.dataCentre);
+        if (std::ranges::find(readers, member.vm) != readers.end()) {
+            sources.push_back(&member);
+            if (member.configRevision.value > 0) {
+                informed.push_back(&member);
+            }
+        }
+    }
+    // While the whole fleet starts, none has told of a configuration yet.
+    const std::vector<const Member *> &best = informed.empty() ? sources : informed;
+    if (best.empty()) {
+        return std::nullopt;
+    }
+    return *best[random % best.size()];
+}
+
+StoreSharing::StoreSharing(EventLoop &loop, StoreAccess store, int peerPort, std::uint64_t seed)
+    : loop(loop),
+      store(std::move(store)),
+      peerPort(peerPort),
+      random(seed),
+      peers(std::make_shared<HttpConnections>(loop, HttpConnectionSettings{.connectionsPerServer = 6, .idleLimit = 5s}))
+{ }
+
+void StoreSharing::setMembers(std::shared_ptr<const MembershipView> view)
+{
+    this->members = std::move(view);
+}
+
+std::optional<Member> StoreSharing::source()
+{
+    if (this->members == nullptr) {
+        return std::nullopt;
+    }
+    return storeSource(*this->members, this->failures, this->random());
+}
+
+void StoreSharing::count(bool failed)
+{
+    this->failures = failed ? this->failures + 1 : 0;
+}
+
+StoreAccess StoreSharing::access()
+{
+    return {.list =
+                [this](std::string_view prefix, std::string_view after, std::function<void(PageResult)> completion) {
+                    this->list(prefix, after, std::move(completion));
+                },
+            .watch =
+                [this](std::string_view prefix,
+                       std::uint64_t after,
+                       Duration wait,
+                       std::function<void(ChangesResult)> completion) {
+                    this->watch(prefix, after, wait, std::move(completion));
+                }};
+}
+
+void StoreSharing::listAt(const Member &peer, std::string_view prefix, std::function<void(PageResult)> completion)
+{
+    const std::string server = peer.address + ":" + std::to_string(this->peerPort);
+    call<PageResult>(
+        *this->peers, server, {.prefix = std::string(prefix)}, decodePage, std::move(completion));
+}
+
+void StoreSharing::list(std::string_view prefix, std::string_view after, std::function<void(PageResult)> completion)
+{
+    auto counted = [this, completion = std::move(completion)](PageResult result) {
+        this->count(std::holds_alternative<StoreFailure>(result));
+        completion(std::move(result));
+    };
+    // A listing that was begun at the store has pages, and goes on there.
+    const std::optional<Member> peer = after.empty() ? this->source() : std::nullopt;
+    if (peer.has_value()) {
+        this->listAt(*peer, prefix, std::move(counted));
+    } else {
+        this->store.list(prefix, after, std::move(counted));
+    }
+}
+
+void StoreSharing::watch(std::string_view prefix,
+                         std::uint64_t after,
+                         Duration wait,
+                         std::function<void(ChangesResult)> completion)
+{
+    auto counted = [this, completion = std::move(completion)](ChangesResult result) {
+        const auto *failure = std::get_if<StoreFailure>(&result);
+        this->count(failure != nullptr && *failure == StoreFailure::Unavailable);
+        completion(std::move(result));
+    };
+    const std::optional<Member> peer = this->source();
+    if (!peer.has_value()) {
+        this->store.watch(prefix, after, wait, std::move(counted));
+        return;
+    }
+    const std::string server = peer->address + ":" + std::to_string(this->peerPort);
+    call<ChangesResult>(
+        *this->peers,
+        server,
+        {.prefix = std::string(prefix), .changesAfter = after, .wait = std::min(wait, longestPeerWait)},
+        decodeChanges,
+        std::function<void(ChangesResult)>(std::move(counted)));
+}
+
+std::string peerTarget(const PeerStoreRequest &request)
+{
+    if (!request.changesAfter.has_value()) {
+        return std::string(listPath).append(request.prefix);
+    }
+    return std::string(watchPath)
+        .append(request.prefix)
+        .append(afterKey)
+        .append(std::to_string(*request.changesAfter))
+        .append(waitKey)
+        .append(std::to_string(ceilMilliseconds(request.wait)));
+}
+
+std::optional<PeerStoreRequest> parsePeerTarget(std::string_view target)
+{
+    if (target.starts_with(listPath)) {
+        return PeerStoreRequest{.prefix = std::string(target.substr(listPath.size()))};
+    }
+    const std::size_t after = target.find(afterKey);
+    const std::size_t wait = target.find(waitKey);
+    if (!target.starts_with(watchPath) || after == std::string_view::npos || wait == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::uint64_t waitMs = std::min<std::uint64_t>(
+        numberAt(target.substr(wait + waitKey.size())), static_cast<std::uint64_t>(longestPeerWait / 1ms));
+    return PeerStoreRequest{.prefix = std::string(target.substr(watchPath.size(), after - watchPath.size())),
+                            .changesAfter = numberAt(target.substr(after + afterKey.size())),
+                            .wait = std::chrono::milliseconds(waitMs)};
+}
+
+std::string encodePage(const StorePage &page)
+{
+    wire::FollowedPrefix wire;
+    wire.set_as_of(page.asOf);
+    wire.set_store_was_away(page.storeWasAway);
+    for (const StoreItem &item : page.items) {
+        wire::FollowedKey &key = *wire.add_keys();
+        key.set_key(item.key);
+        key.set_value(item.value);
+        key.set_revision(item.revision);
+    }
+    return wire.SerializeAsString();
+}
+
+std::string encodeChanges(const StoreChanges &changes)
+{
+    wire::FollowedPrefix wire;
+    wire.set_as_of(changes.asOf);
+    wire.set_store_was_away(changes.storeWasAway);
+    for (const StoreChange &change : changes.changes) {
+        wire::FollowedKey &key = *wire.add_keys();
+        key.set_key(change.key);
+        key.set_value(change.value.value_or(std::string()));
+        key.set_revision(change.revision);
+        key.set_removed(!change.value.has_value());
+    }
+    return wire.SerializeAsString();
+}
+
+} // namespace hickoryshore
--- /dev/null
+++ b/src/hickoryshore/entry/store_sharing_test.cpp
@@ -0,0 +1,99 @@
+#include "hickoryshore/entry/store_sharing.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <set>
+
+using namespace hickoryshore;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A fleet of two data centres; the first two VMs of each have the most processor.
+MembershipView makeFleet(int vmsEach, const std::string &self)
+{
+    MembershipView view{.self = {self}, .members = {}};
+    for (const std::string dataCentre : {"north", "south"}) {
+        for (int number = 1; number <= vmsEach; ++number) {
+            view.members.push_back({.vm = {dataCentre + "-" + std::to_string(number)},
+                                    .dataCentre = {dataCentre},
+                                    .address = "10.0.0.1",
+                                    .capacity = number <= 2 ? 500 : 84,
+                                    .configRevision = {7}});
+        }
+    }
+    std::ranges::sort(view.members, {}, &Member::vm);
+    return view;
+}
+
+std::set<std::string> sourcesOf(const MembershipView &view, int failures)
+{
+    std::set<std::string> sources;
+    for (std::uint64_t random = 0; random < 100; ++random) {
+        const auto source = storeSource(view, failures, random);
+        sources.insert(source.has_value() ? source->vm.value : "store");
+    }
+    return sources;
+}
+
+using Names = std::set<std::string>;
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(in_a_small_fleet_each_vm_calls_the_store)
+{
+    BOOST_TEST((sourcesOf(makeFleet(9, "north-9"), 0) == Names{"store"}));
+}
+
+BOOST_AUTO_TEST_CASE(in_a_large_fleet_two_vms_of_each_data_centre_call_the_store)
+{
+    int readers = 0;
+    const MembershipView fleet = makeFleet(69, "north-1");
+    for (const Member &member : fleet.members) {
+        readers += sourcesOf(makeFleet(69, member.vm.value), 0).contains("store") ? 1 : 0;
+    }
+    BOOST_TEST(readers == 4);
+    BOOST_TEST((sourcesOf(makeFleet(69, "north-30"), 0) == Names{"north-1", "north-2"}));
+}
+
+BOOST_AUTO_TEST_CASE(a_source_that_fails_is_followed_by_others_and_by_the_store_itself)
+{
+    const MembershipView view = makeFleet(69, "north-30");
+    BOOST_TEST((sourcesOf(view, 1) == Names{"north-1", "north-2", "south-1", "south-2"}));
+    BOOST_TEST((sourcesOf(view, 2) == Names{"store"}));
+}
+
+BOOST_AUTO_TEST_CASE(a_vm_that_the_store_refuses_follows_its_peers_by_turns)
+{
+    const MembershipView view = makeFleet(9, "north-1");
+    BOOST_TEST(!sourcesOf(view, 1).contains("store"));
+    BOOST_TEST(!sourcesOf(view, 1).contains("north-1"));
+    BOOST_TEST((sourcesOf(view, 2) == Names{"store"}));
+}
+
+BOOST_AUTO_TEST_CASE(peers_with_a_configuration_go_before_those_that_have_told_of_none)
+{
+    MembershipView view = makeFleet(69, "north-30");
+    for (Member &member : view.members) {
+        member.configRevision = {member.vm.value == "north-2" ? 7U : 0U};
+    }
+    BOOST_TEST((sourcesOf(view, 0) == Names{"north-2"}));
+    for (Member &member : view.members) {
+        member.configRevision = {};
+    }
+    BOOST_TEST((sourcesOf(view, 0) == Names{"north-1", "north-2"}));
+}
+
+BOOST_AUTO_TEST_CASE(the_target_of_a_request_between_vms_is_read_back)
+{
+    const auto list = parsePeerTarget(peerTarget({.prefix = "a/"}));
+    BOOST_REQUIRE(list.has_value());
+    BOOST_TEST(list->prefix == "a/");
+    BOOST_TEST(!list->changesAfter.has_value());
+    const auto watch = parsePeerTarget(peerTarget({.prefix = "a/", .changesAfter = 17, .wait = 1500ms}));
+    BOOST_REQUIRE(watch.has_value());
+    BOOST_TEST(watch->changesAfter.value() == 17);
+    BOOST_TEST((watch->wait == 1500ms));
+    BOOST_TEST(!parsePeerTarget("/metrics").has_value());
+}
--- a/src/hickoryshore/membership/message.cpp
+++ b/src/hickoryshore/membership/message.cpp
@@ -13,7 +13,9 @@
 // Tags, lengths and numbers at their longest: process id 9, start 11, incarnation 6, state 2, lengths 6.
 constexpr std::size_t newsFixedBytes = 34;
 // Three ports of 4 bytes, tags and lengths of three strings and of the description itself.
-constexpr std::size_t descriptionFixedBytes = 22;
+/// A thousand cores.
+constexpr std::uint32_t maximumCapacity = 1'000'000;
+constexpr std::size_t descriptionFixedBytes = 28;
 // Version, kind, sequence, revision, flag, tags and lengths of two strings.
 constexpr std::size_t messageFixedBytes = 40;
 
@@ -36,6 +38,7 @@
     description.set_membership_port(static_cast<std::uint32_t>(news.description->membershipPort));
     description.set_peer_port(static_cast<std::uint32_t>(news.description->peerPort));
     description.set_http_port(static_cast<std::uint32_t>(news.description->httpPort));
+    description.set_capacity(static_cast<std::uint32_t>(news.description->capacity));
     description.set_data_centre(news.description->dataCentre.value);
     description.set_region(news.description->region.value);
 }
@@ -53,7 +56,7 @@
     const bool namesFit = !description.address().empty() && isName(description.address())
         && isName(description.data_centre()) && isName(description.region());
     const bool portsFit = description.membership_port() <= maximumPort && description.peer_port() <= maximumPort
-        && description.http_port() <= maximumPort;
+        && description.http_port() <= maximumPort && description.capacity() <= maximumCapacity;
     return namesFit && portsFit && description.membership_port() != 0;
 }
 
@@ -95,7 +98,8 @@
                                                 .address = description.address(),
                                                 .membershipPort = static_cast<int>(description.membership_port()),
                                                 .peerPort = static_cast<int>(description.peer_port()),
-                                                .httpPort = static_cast<int>(description.http_port())};
+                                                .httpPort = static_cast<int>(description.http_port()),
+                                                .capacity = static_cast<int>(description.capacity())};
     }
     return decoded;
 }
--- a/src/hickoryshore/membership/message_test.cpp
+++ b/src/hickoryshore/membership/message_test.cpp
@@ -27,7 +27,8 @@
                                              .address = anyName(1),
                                              .membershipPort = *rc::gen::inRange(1, 65536),
                                              .peerPort = *rc::gen::inRange(0, 65536),
-                                             .httpPort = *rc::gen::inRange(0, 65536)};
+                                             .httpPort = *rc::gen::inRange(0, 65536),
+                                             .capacity = *rc::gen::inRange(0, 1'000'001)};
     }
     return news;
 }
--- a/src/hickoryshore/membership/roster.cpp
+++ b/src/hickoryshore/membership/roster.cpp
@@ -20,6 +20,7 @@
         member.membershipPort = news.description->membershipPort;
         member.peerPort = news.description->peerPort;
         member.httpPort = news.description->httpPort;
+        member.capacity = news.description->capacity;
     }
 }
 
@@ -55,7 +56,8 @@
                                          .address = member.address,
                                          .membershipPort = member.membershipPort,
                                          .peerPort = member.peerPort,
-                                         .httpPort = member.httpPort};
+                                         .httpPort = member.httpPort,
+                                         .capacity = member.capacity};
     return news;
 }
 
--- a/src/hickoryshore/shutdown/entry_points.cpp
+++ b/src/hickoryshore/shutdown/entry_points.cpp
@@ -1,6 +1,8 @@
 #include "hickoryshore/shutdown/entry_points.h"
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
 #include <utility>
 
 namespace hickoryshore {
@@ -77,8 +79,73 @@
     }
 }
 
+/// Parts of the most replicas of a region, and of the most processor of a VM, that count as enough.
+constexpr int enoughReplicasDivisor = 2;
+constexpr int enoughCapacityDivisor = 2;
+/// Fewer VMs are not preferred to the others.
+constexpr std::size_t fewestPreferred = 2;
+/// Of what a fleet divides, the part of the preferred VMs.
+constexpr double shareOfPreferred = 0.75;
+
+/// Whether a region holds enough replicas to serve queries from there.
+bool holdsReplicas(const RegionId &region, const ReplicasByRegion &replicas)
+{
+    int most = 0;
+    for (const auto &[name, count] : replicas) {
+        most = std::max(most, count);
+    }
+    const auto found = replicas.find(region);
+    return (found == replicas.end() ? 0 : found->second) * enoughReplicasDivisor >= most;
+}
+
+/// Keeps the members that match, if they are enough.
+void keepIfEnough(std::vector<Member> &members, std::size_t enough, const std::function<bool(const Member &)> &matches)
+{
+    std::vector<Member> kept;
+    std::ranges::copy_if(members, std::back_inserter(kept), matches);
+    if (kept.size() >= enough) {
+        members = std::move(kept);
+    }
+}
+
 } // namespace
 
+MembershipView preferMembers(const MembershipView &view, const CallerPlace &place, const ReplicasByRegion &replicas)
+{
+    MembershipView preferred = view;
+    const bool ownRegionServes = holdsReplicas(place.region, replicas);
+    keepIfEnough(preferred.members, 1, [&](const Member &member) {
+        return ownRegionServes ? member.region == place.region : holdsReplicas(member.region, replicas);
+    });
+    int mostCapacity = 0;
+    for (const Member &member : preferred.members) {
+        mostCapacity = std::max(mostCapacity, member.capacity);
+    }
+    keepIfEnough(preferred.members, fewestPreferred, [&](const Member &member) {
+        return member.capacity * enoughCapacityDivisor >= mostCapacity;
+    });
+    return preferred;
+}
+
+double fleetShare(std::span<const Member> fleet, const VmId &self)
+{
+    int mostCapacity = 0;
+    for (const Member &member : fleet) {
+        mostCapacity = std::max(mostCapacity, member.capacity);
+    }
+    const auto isLarge = [mostCapacity](const Member &member) {
+        return member.capacity * enoughCapacityDivisor >= mostCapacity;
+    };
+    const auto large = static_cast<std::size_t>(std::ranges::count_if(fleet, isLarge));
+    const std::size_t small = fleet.size() - large;
+    if (small == 0 || large < fewestPreferred) {
+        return 1.0 / static_cast<double>(std::max<std::size_t>(1, fleet.size()));
+    }
+    const auto own = std::ranges::find(fleet, self, &Member::vm);
+    return own != fleet.end() && isLarge(*own) ? shareOfPreferred / static_cast<double>(large)
+                                               : (1.0 - shareOfPreferred) / static_cast<double>(small);
+}
+
 EntryPoints chooseEntryPoints(const MembershipView &view,
                               const CallerPlace &place,
                               const EntryPointSettings &settings,
--- a/src/hickoryshore/shutdown/entry_points_test.cpp
+++ b/src/hickoryshore/shutdown/entry_points_test.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 
 using namespace hickoryshore;
@@ -104,3 +105,49 @@
     BOOST_TEST(answer.entries.front().dataCentre.value == "arequipa");
     BOOST_TEST(answer.entries.back().dataCentre.value == "lima");
 }
+
+BOOST_AUTO_TEST_CASE(callers_of_a_region_without_replicas_are_sent_to_regions_that_have_them)
+{
+    const MembershipView preferred = preferMembers(makeView(), {{"cusco"}, {"highland"}}, {{{"coast"}, 20}, {{"highland"}, 1}});
+    BOOST_TEST(preferred.members.size() == 12);
+    for (const Member &member : preferred.members) {
+        BOOST_TEST(member.region.value == "coast");
+    }
+    const MembershipView own = preferMembers(makeView(), {{"cusco"}, {"highland"}}, {{{"coast"}, 20}, {{"highland"}, 20}});
+    BOOST_TEST(own.members.size() == 6);
+    BOOST_TEST(preferMembers(makeView(), {{"x"}, {"y"}}, {}).members.size() == 18);
+}
+
+BOOST_AUTO_TEST_CASE(queries_with_a_large_fan_out_go_to_the_vms_with_the_most_processor)
+{
+    MembershipView view = makeView();
+    for (Member &member : view.members) {
+        member.capacity = member.vm.value.ends_with("0") || member.vm.value.ends_with("1") ? 500 : 84;
+    }
+    const ReplicasByRegion everywhere = {{{"coast"}, 20}, {{"highland"}, 20}};
+    BOOST_TEST(preferMembers(view, {{"lima"}, {"coast"}}, everywhere).members.size() == 4);
+    // A single one that is left does not take everything.
+    std::erase_if(view.members, [](const Member &member) {
+        return member.vm.value == "vm-30";
+    });
+    BOOST_TEST(preferMembers(view, {{"cusco"}, {"highland"}}, everywhere).members.size() == 5);
+}
+
+BOOST_AUTO_TEST_CASE(shares_of_a_fleet_make_up_the_whole)
+{
+    MembershipView view = makeView();
+    double whole = 0.0;
+    for (const Member &member : view.members) {
+        whole += fleetShare(view.members, member.vm);
+    }
+    BOOST_TEST(std::abs(whole - 1.0) < 1e-9);
+    for (Member &member : view.members) {
+        member.capacity = member.vm.value.ends_with("0") ? 500 : 84;
+    }
+    whole = 0.0;
+    for (const Member &member : view.members) {
+        whole += fleetShare(view.members, member.vm);
+    }
+    BOOST_TEST(std::abs(whole - 1.0) < 1e-9);
+    BOOST_TEST(fleetShare(view.members, {"vm-10"}) == 0.25);
+}
--- a/src/hickoryshore/statesync/prefix_follower.cpp
+++ b/src/hickoryshore/statesync/prefix_follower.cpp
@@ -13,6 +13,8 @@
 constexpr Duration firstRetry = 100ms;
 constexpr Duration longestRetry = 800ms;
 constexpr int mostDoublings = 3;
+/// Changes that are kept for peers; a peer that is further behind lists everything.
+constexpr std::size_t loggedChanges = 512;
 
 } // namespace
 
@@ -20,14 +22,19 @@
     : random(static_cast<std::minstd_rand::result_type>(seed % (std::minstd_rand::modulus - 1) + 1))
 { }
 
-void PrefixFollower::start(Instant /*now*/, std::vector<FollowerAction> &actions)
+void PrefixFollower::start(Instant now, std::vector<FollowerAction> &actions)
 {
-    this->next(actions);
+    this->next(now, actions);
 }
 
-void PrefixFollower::next(std::vector<FollowerAction> &actions)
+void PrefixFollower::next(Instant now, std::vector<FollowerAction> &actions)
 {
+    if (!this->mustList && now < this->watchedAt + watchInterval) {
+        this->retryAt = this->watchedAt + watchInterval;
+        return;
+    }
     if (!this->mustList) {
+        this->watchedAt = now;
         actions.emplace_back(WatchKeys{this->knownAsOf});
         return;
     }
@@ -53,17 +60,18 @@
     this->answered(actions);
     if (!this->mustList) {
         // A peer has handed over the state meanwhile.
-        this->next(actions);
+        this->next(now, actions);
         return;
     }
     // Pages are not read at one moment: the changes since the first one are watched for.
+    this->failedAt = page.storeWasAway ? now : this->failedAt;
     this->listedAsOf = this->listed.empty() ? page.asOf : std::min(this->listedAsOf, page.asOf);
     std::ranges::move(page.items, std::back_inserter(this->listed));
     if (!page.hasMore || page.items.empty()) {
         this->mustList = false;
         this->adopt(now, std::exchange(this->listed, {}), this->listedAsOf, actions);
     }
-    this->next(actions);
+    this->next(now, actions);
 }
 
 void PrefixFollower::adopt(Instant now,
@@ -76,6 +84,8 @@
         return;
     }
     this->knownAsOf = asOf;
+    this->log.clear();
+    this->logStart = asOf;
     this->state.clear();
     for (const StoreItem &item : items) {
         this->state[item.key] = {item.value, item.revision};
@@ -86,6 +96,7 @@
 void PrefixFollower::onChanges(Instant now, StoreChanges changes, std::vector<FollowerAction> &actions)
 {
     this->answered(actions);
+    this->failedAt = changes.storeWasAway ? now : this->failedAt;
     for (StoreChange &change : changes.changes) {
         const auto found = this->state.find(change.key);
         if (found != this->state.end() && found->second.revision >= change.revision) {
@@ -96,18 +107,24 @@
         } else if (found != this->state.end()) {
             this->state.erase(found);
         }
+        this->log.push_back(change);
+        if (this->log.size() > loggedChanges) {
+            this->logStart = this->log.front().revision;
+            this->log.pop_front();
+        }
         actions.emplace_back(TakeChange{.change = std::move(change), .storeWasAway = this->wasAway(now)});
     }
     this->knownAsOf = std::max(this->knownAsOf, changes.asOf);
-    this->next(actions);
+    this->next(now, actions);
 }
 
 void PrefixFollower::onFailure(Instant now, StoreFailure failure, std::vector<FollowerAction> &actions)
 {
     this->listed.clear();
+    this->watchedAt = {};
     if (failure == StoreFailure::HistoryGone) {
         this->mustList = true;
-        this->next(actions);
+        this->next(now, actions);
         return;
     }
     this->failedAt = now;
@@ -136,7 +153,7 @@
 {
     if (this->retryAt.has_value() && *this->retryAt <= now) {
         this->retryAt.reset();
-        this->next(actions);
+        this->next(now, actions);
     }
 }
 
@@ -155,6 +172,20 @@
     return !this->reached;
 }
 
+std::optional<std::vector<StoreChange>> PrefixFollower::changesAfter(std::uint64_t revision) const
+{
+    if (revision < this->logStart) {
+        return std::nullopt;
+    }
+    std::vector<StoreChange> changes;
+    for (const StoreChange &change : this->log) {
+        if (change.revision > revision) {
+            changes.push_back(change);
+        }
+    }
+    return changes;
+}
+
 std::vector<StoreItem> PrefixFollower::items() const
 {
     std::vector<StoreItem> items;
--- a/src/hickoryshore/statesync/prefix_follower_test.cpp
+++ b/src/hickoryshore/statesync/prefix_follower_test.cpp
@@ -64,6 +64,23 @@
     BOOST_TEST(this->follower.asOf() == 11);
 }
 
+BOOST_AUTO_TEST_CASE(changes_in_quick_succession_take_few_calls)
+{
+    this->list(10);
+    int watches = 0;
+    std::uint64_t revision = 10;
+    // A hundred replicas register within a second.
+    for (Duration passed = 10ms; passed <= 1s; passed += 10ms) {
+        if (this->follower.nextTimer().has_value()) {
+            this->follower.onTimer(start + passed, this->actions);
+        } else {
+            this->follower.onChanges(start + passed, {.changes = {{"c", "x", ++revision}}, .asOf = revision}, this->actions);
+        }
+        watches += static_cast<int>(this->take<WatchKeys>().size());
+    }
+    BOOST_TEST(watches <= 4);
+}
+
 BOOST_AUTO_TEST_CASE(lost_history_leads_to_a_new_listing)
 {
     this->list(10);
--- a/src/hickoryshore/upstream/http_connections.cpp
+++ b/src/hickoryshore/upstream/http_connections.cpp
@@ -308,6 +308,14 @@
 {
     connection.sent = 0;
     connection.sentAt = monotonicNow();
+    if (connection.exchange->makeRequest) {
+        std::optional<std::string> request = connection.exchange->makeRequest();
+        if (!request.has_value()) {
+            this->withdraw(id, connection);
+            return;
+        }
+        connection.exchange->request = std::move(*request);
+    }
     if (connection.exchange->bodiless) {
         connection.reader.expectNoBody();
     }
@@ -316,6 +324,22 @@
     this->keepSpare(server);
 }
 
+/// Ends an exchange that is too late to be sent; the connection stays of use.
+void HttpConnections::withdraw(Id id, Connection &connection)
+{
+    HttpExchange exchange = std::move(*connection.exchange);
+    connection.exchange.reset();
+    this->inUse.erase(connection.exchangeId);
+    this->setDeadline(id, connection, connection.lastAlive + this->settings.idleLimit);
+    connection.server->idle.push_back(id);
+    this->serveWaitingSoon(*connection.server);
+    this->loop.post([onEnd = std::move(exchange.onEnd)] {
+        if (onEnd) {
+            onEnd({.failure = HttpFailure::Connect});
+        }
+    });
+}
+
 void HttpConnections::sendMore(Id id, Connection &connection)
 {
     const std::string &request = connection.exchange->request;
