--- a/include/hickoryshore/dispatch/request_run.h
+++ b/include/hickoryshore/dispatch/request_run.h
@@ -78,11 +78,8 @@
     void start(Instant now, std::vector<RunAction> &actions);
 
     /// Takes the end of an attempt. `isReply` says that the replica answered, though with a failure.
-    void onAttemptEnd(Instant now,
-                      AttemptId attempt,
-                      const AttemptEnd &end,
-                      bool isReply,
-                      std::vector<RunAction> &actions);
+    void onAttemptEnd(
+        Instant now, AttemptId attempt, const AttemptEnd &end, bool isReply, std::vector<RunAction> &actions);
 
     /// Does what has become due.
     void onTimer(Instant now, std::vector<RunAction> &actions);
--- a/include/hickoryshore/entry/entry_dialect.h
+++ b/include/hickoryshore/entry/entry_dialect.h
@@ -1,5 +1,5 @@
-// What differs between platforms, as seen by an entry VM: the names of header fields, the texts of the store's values and
-// of the answers to callers that ask for entry points. An adapter fills these in; nothing else knows them.
+// What differs between platforms, as seen by an entry VM: the names of header fields, the texts of the store's values
+// and of the answers to callers that ask for entry points. An adapter fills these in; nothing else knows them.
 #pragma once
 
 #include "hickoryshore/http1/http_exchange.h"
--- a/include/hickoryshore/entry/request_service.h
+++ b/include/hickoryshore/entry/request_service.h
@@ -1,4 +1,5 @@
-// Serves callers' HTTP requests at an entry VM: finds the route, has the dispatch decide, talks to the replicas, answers.
+// Serves callers' HTTP requests at an entry VM: finds the route, has the dispatch decide, talks to the replicas,
+// answers.
 #pragma once
 
 #include "hickoryshore/dispatch/request_run.h"
@@ -41,7 +42,7 @@
     /// Sets this VM's share, from 0 to 1, of the replicas' connections and of the budget of extra attempts.
     void setShare(double share);
 
-    void onRequest(HttpCallId call, HttpServerRequest request);
+    void onRequest(HttpCallId call, const HttpServerRequest &request);
     void onClientLeft(HttpCallId call);
 
     std::size_t inFlight() const;
--- a/include/hickoryshore/entry/state_service.h
+++ b/include/hickoryshore/entry/state_service.h
@@ -1,5 +1,5 @@
-// Keeps an entry VM's routes and replicas up to date: from the platform's store, and from other VMs while the store does
-// not answer this one.
+// Keeps an entry VM's routes and replicas up to date: from the platform's store, and from other VMs while the store
+// does not answer this one.
 #pragma once
 
 #include "hickoryshore/entry/entry_dialect.h"
--- a/include/hickoryshore/entry/store_sharing.h
+++ b/include/hickoryshore/entry/store_sharing.h
@@ -44,7 +44,10 @@
 private:
     std::optional<Member> source();
     void list(std::string_view prefix, std::string_view after, std::function<void(PageResult)> completion);
-    void watch(std::string_view prefix, std::uint64_t after, Duration wait, std::function<void(ChangesResult)> completion);
+    void watch(std::string_view prefix,
+               std::uint64_t after,
+               Duration wait,
+               std::function<void(ChangesResult)> completion);
     void count(bool failed);
 
     EventLoop &loop;
--- a/include/hickoryshore/routes/route_table.h
+++ b/include/hickoryshore/routes/route_table.h
@@ -1,4 +1,5 @@
-// Which services a caller's HTTP request goes to: routes by host and path, as one version of the configuration has them.
+// Which services a caller's HTTP request goes to: routes by host and path, as one version of the configuration has
+// them.
 //
 //     RouteIndex index(table);
 //     const Route *route = index.find("boards.example", "/arrivals/17"); // nullptr where there is none
--- a/include/hickoryshore/shutdown/entry_points.h
+++ b/include/hickoryshore/shutdown/entry_points.h
@@ -47,14 +47,14 @@
 /// How many replicas each region holds.
 using ReplicasByRegion = std::unordered_map<RegionId, int>;
 
-/// The members that are best for a caller, where each VM calls the replicas itself. Regions with few replicas are passed
-/// over: one way from the caller to another region costs less than one from the VM for each shard. In the regions that
-/// are left, the caller's own if it is one, the VMs with the most processor go before the others, since the slowest of
-/// many sub-requests decides when a query is answered; at least two VMs, so that one may fail.
+/// The members that are best for a caller, where each VM calls the replicas itself. Regions with few replicas are
+/// passed over: one way from the caller to another region costs less than one from the VM for each shard. In the
+/// regions that are left, the caller's own if it is one, the VMs with the most processor go before the others, since
+/// the slowest of many sub-requests decides when a query is answered; at least two VMs, so that one may fail.
 MembershipView preferMembers(const MembershipView &view, const CallerPlace &place, const ReplicasByRegion &replicas);
 
-/// The part, from 0 to 1, of what a fleet has to divide (connections of replicas, extra attempts) that is this VM's. The
-/// VMs that preferMembers() names share three quarters of it, and the others the rest; all the same where none is
+/// The part, from 0 to 1, of what a fleet has to divide (connections of replicas, extra attempts) that is this VM's.
+/// The VMs that preferMembers() names share three quarters of it, and the others the rest; all the same where none is
 /// preferred. `fleet` has the VMs that may be in use, also those that seem gone.
 double fleetShare(std::span<const Member> fleet, const VmId &self);
 
--- a/src/hickoryshore/dispatch/endpoint_table.cpp
+++ b/src/hickoryshore/dispatch/endpoint_table.cpp
@@ -196,7 +196,8 @@
         endpoint.waitingAt = now;
     }
     if (end.code == ResultCode::Ok) {
-        const auto typical = static_cast<double>(std::max(latency.typical(endpoint.replica.distance), Duration(1)).count());
+        const auto typical
+            = static_cast<double>(std::max(latency.typical(endpoint.replica.distance), Duration(1)).count());
         const double ratio = std::min(static_cast<double>(end.latency.count()) / typical, mostSlowness);
         const double before = slownessNow(endpoint, now);
         endpoint.slowness = before + slownessWeight * (ratio - before);
--- a/src/hickoryshore/dispatch/request_run.cpp
+++ b/src/hickoryshore/dispatch/request_run.cpp
@@ -145,8 +145,8 @@
         this->give(part);
         return;
     }
-    const bool refusedByAll = part.last == ResultCode::UpstreamShed && !part.retryAt.has_value()
-        && !this->untried(now, number).has_value();
+    const bool refusedByAll
+        = part.last == ResultCode::UpstreamShed && !part.retryAt.has_value() && !this->untried(now, number).has_value();
     if (refusedByAll && now + refusalPause < this->settings.deadline) {
         part.retryAt = now + refusalPause;
         return;
@@ -165,11 +165,8 @@
     ++this->missing;
 }
 
-void RequestRun::onAttemptEnd(Instant now,
-                              AttemptId attempt,
-                              const AttemptEnd &end,
-                              bool isReply,
-                              std::vector<RunAction> &actions)
+void RequestRun::onAttemptEnd(
+    Instant now, AttemptId attempt, const AttemptEnd &end, bool isReply, std::vector<RunAction> &actions)
 {
     if (this->ended) {
         return;
--- a/src/hickoryshore/dispatch/request_run_test.cpp
+++ b/src/hickoryshore/dispatch/request_run_test.cpp
@@ -151,8 +151,7 @@
     BOOST_TEST(sent.front().provenConnection);
     run.onTimer(start + 500ms, this->actions);
     BOOST_TEST(this->take<SendAttempt>().empty());
-    run.onAttemptEnd(
-        start + 510ms, sent.front().attempt, {.code = ResultCode::ConnectionLost}, false, this->actions);
+    run.onAttemptEnd(start + 510ms, sent.front().attempt, {.code = ResultCode::ConnectionLost}, false, this->actions);
     const auto finished = this->take<FinishRun>();
     BOOST_TEST((finished.at(0).code == ResultCode::ConnectionLost));
 }
--- a/src/hickoryshore/dispatch/route_latency.cpp
+++ b/src/hickoryshore/dispatch/route_latency.cpp
@@ -61,8 +61,8 @@
     }
     changed.untilRefresh = refreshInterval;
     changed.typical = *median;
-    changed.hedgeDelay = std::max(
-        shortestHedgeDelay, std::clamp(*late, scaled(*median, leastHedgeRatio), scaled(*median, mostHedgeRatio)));
+    changed.hedgeDelay = std::max(shortestHedgeDelay,
+                                  std::clamp(*late, scaled(*median, leastHedgeRatio), scaled(*median, mostHedgeRatio)));
 }
 
 Duration RouteLatency::typical(Distance distance) const
--- a/src/hickoryshore/entry/entry_vm.cpp
+++ b/src/hickoryshore/entry/entry_vm.cpp
@@ -144,8 +144,8 @@
 HttpListenerHooks EntryVm::callerHooks()
 {
     return {.onRequest =
-                [this](HttpCallId call, HttpServerRequest request) {
-                    this->requests.onRequest(call, std::move(request));
+                [this](HttpCallId call, const HttpServerRequest &request) {
+                    this->requests.onRequest(call, request);
                 },
             .onClientLeft =
                 [this](HttpCallId call) {
@@ -196,7 +196,8 @@
 {
     this->members = view;
     this->state.setMembers(view);
-    // The largest fleet that was seen: members that seem gone may only be cut off from here, and go on using their share.
+    // The largest fleet that was seen: members that seem gone may only be cut off from here, and go on using their
+    // share.
     if (view->members.size() > this->largestFleet.size()) {
         this->largestFleet = view->members;
         this->updateShare();
@@ -294,9 +295,7 @@
     if (this->shutdown.phase() != ShutdownPhase::Serving) {
         return;
     }
-    writeLog({.slice = slice,
-              .event = "leaving",
-              .fields = {{"inFlight", std::to_string(this->requests.inFlight())}}});
+    writeLog({.slice = slice, .event = "leaving", .fields = {{"inFlight", std::to_string(this->requests.inFlight())}}});
     std::vector<ShutdownAction> actions;
     this->shutdown.beginLeave(monotonicNow(), actions);
     this->shutdown.shardsHandedOver();
--- a/src/hickoryshore/entry/request_answers.cpp
+++ b/src/hickoryshore/entry/request_answers.cpp
@@ -27,7 +27,7 @@
         return info.httpStatus >= 500 ? statusUnavailable : info.httpStatus;
     }
     return code == ResultCode::DeadlineExceeded || code == ResultCode::ConnectionSilent ? statusGatewayTimeout
-                                                                                       : statusBadGateway;
+                                                                                        : statusBadGateway;
 }
 
 std::string formatSeconds(Duration duration)
--- a/src/hickoryshore/entry/request_service.cpp
+++ b/src/hickoryshore/entry/request_service.cpp
@@ -59,8 +59,7 @@
       table(seed),
       split(seed),
       upstream(std::make_shared<HttpConnections>(
-          loop,
-          HttpConnectionSettings{.responses = {.withoutLength = true, .excess = true, .keepHeaders = true}}))
+          loop, HttpConnectionSettings{.responses = {.withoutLength = true, .excess = true, .keepHeaders = true}}))
 {
     this->setShare(1.0);
 }
@@ -107,8 +106,7 @@
                           .slots = record.slots,
                           .draining = record.draining,
                           .warmUpLeft = record.warmUpLeft});
-        this->replicas[replica.endpoint]
-            = {.name = replica.name, .address = record.address, .service = record.service};
+        this->replicas[replica.endpoint] = {.name = replica.name, .address = record.address, .service = record.service};
         if (region != this->settings.regions.end()) {
             ++this->regionReplicas[region->second];
         }
@@ -133,7 +131,7 @@
     return std::nullopt;
 }
 
-void RequestService::onRequest(HttpCallId call, HttpServerRequest request)
+void RequestService::onRequest(HttpCallId call, const HttpServerRequest &request)
 {
     this->metrics.count(Count::Queries);
     const auto host = findHeader(request.headers, "Host").value_or("");
@@ -266,9 +264,10 @@
     const Replica &replica = this->replicas.at(action.endpoint);
     const Forwarding &forwarding = *request.forwarding;
     HttpExchange exchange;
-    exchange.makeRequest = [this, shared = request.forwarding, name = replica.name, deadline = monotonicNow() + action.remaining] {
-        return this->requestBytes(*shared, name, deadline);
-    };
+    exchange.makeRequest
+        = [this, shared = request.forwarding, name = replica.name, deadline = monotonicNow() + action.remaining] {
+              return this->requestBytes(*shared, name, deadline);
+          };
     exchange.timeout = action.remaining + strayLimit;
     exchange.proven = action.provenConnection;
     exchange.waits = true;
@@ -290,14 +289,14 @@
         this->metrics.countRetry(action.cause);
     }
     if (action.reason != DirectAttempt::First) {
-        writeLog({.level = LogLevel::Debug,
-                  .slice = slice,
-                  .event = action.reason == DirectAttempt::Hedge ? "hedged" : "retried",
-                  .requestId = forwarding.requestId,
-                  .resultCode = action.cause,
-                  .fields = {{"service", replica.service.value},
-                             {"replica", replica.name},
-                             {"ageMs", milliseconds(action.age)}}});
+        writeLog(
+            {.level = LogLevel::Debug,
+             .slice = slice,
+             .event = action.reason == DirectAttempt::Hedge ? "hedged" : "retried",
+             .requestId = forwarding.requestId,
+             .resultCode = action.cause,
+             .fields
+             = {{"service", replica.service.value}, {"replica", replica.name}, {"ageMs", milliseconds(action.age)}}});
     }
     this->attempts[action.attempt] = {.call = call,
                                       .endpoint = action.endpoint,
--- a/src/hickoryshore/entry/state_service.cpp
+++ b/src/hickoryshore/entry/state_service.cpp
@@ -16,7 +16,7 @@
 /// A watch that waits is one call to the store, however long it waits; the store allows 30 s.
 constexpr Duration watchWait = 20s;
 /// The membership is waited for this long at the start: it tells whether the store is to be called at all.
-constexpr Duration patienceWithMembership = 400ms;
+constexpr Duration patienceWithMembership = 250ms;
 /// How often waiting peers, lapsed replicas and news of a newer configuration are looked at.
 constexpr Duration periodicCheck = 250ms;
 /// After this time without a configuration that peers have, one of them is asked for it.
@@ -27,12 +27,8 @@
 
 } // namespace
 
-StateService::StateService(EventLoop &loop,
-                           const EntryDialect &dialect,
-                           StoreAccess store,
-                           int peerPort,
-                           std::uint64_t seed,
-                           StateHooks hooks)
+StateService::StateService(
+    EventLoop &loop, const EntryDialect &dialect, StoreAccess store, int peerPort, std::uint64_t seed, StateHooks hooks)
     : loop(loop),
       dialect(dialect),
       store(loop, std::move(store), peerPort, seed),
@@ -204,7 +200,8 @@
     try {
         table = std::make_shared<const RouteTable>(this->dialect.parseRouteTable(text));
     } catch (const std::invalid_argument &error) {
-        writeLog({.level = LogLevel::Error, .slice = slice, .event = "configurationUnreadable", .detail = error.what()});
+        writeLog(
+            {.level = LogLevel::Error, .slice = slice, .event = "configurationUnreadable", .detail = error.what()});
         return;
     }
     const std::uint64_t before = this->routes == nullptr ? 0 : this->routes->version;
--- a/src/hickoryshore/entry/store_sharing.cpp
+++ b/src/hickoryshore/entry/store_sharing.cpp
@@ -197,8 +197,7 @@
 void StoreSharing::listAt(const Member &peer, std::string_view prefix, std::function<void(PageResult)> completion)
 {
     const std::string server = peer.address + ":" + std::to_string(this->peerPort);
-    call<PageResult>(
-        *this->peers, server, {.prefix = std::string(prefix)}, decodePage, std::move(completion));
+    call<PageResult>(*this->peers, server, {.prefix = std::string(prefix)}, decodePage, std::move(completion));
 }
 
 void StoreSharing::list(std::string_view prefix, std::string_view after, std::function<void(PageResult)> completion)
@@ -232,12 +231,11 @@
         return;
     }
     const std::string server = peer->address + ":" + std::to_string(this->peerPort);
-    call<ChangesResult>(
-        *this->peers,
-        server,
-        {.prefix = std::string(prefix), .changesAfter = after, .wait = std::min(wait, longestPeerWait)},
-        decodeChanges,
-        std::function<void(ChangesResult)>(std::move(counted)));
+    call<ChangesResult>(*this->peers,
+                        server,
+                        {.prefix = std::string(prefix), .changesAfter = after, .wait = std::min(wait, longestPeerWait)},
+                        decodeChanges,
+                        std::function<void(ChangesResult)>(std::move(counted)));
 }
 
 std::string peerTarget(const PeerStoreRequest &request)
@@ -263,8 +261,8 @@
     if (!target.starts_with(watchPath) || after == std::string_view::npos || wait == std::string_view::npos) {
         return std::nullopt;
     }
-    const std::uint64_t waitMs = std::min<std::uint64_t>(
-        numberAt(target.substr(wait + waitKey.size())), static_cast<std::uint64_t>(longestPeerWait / 1ms));
+    const std::uint64_t waitMs = std::min<std::uint64_t>(numberAt(target.substr(wait + waitKey.size())),
+                                                         static_cast<std::uint64_t>(longestPeerWait / 1ms));
     return PeerStoreRequest{.prefix = std::string(target.substr(watchPath.size(), after - watchPath.size())),
                             .changesAfter = numberAt(target.substr(after + afterKey.size())),
                             .wait = std::chrono::milliseconds(waitMs)};
--- a/src/hickoryshore/http1/http_request_reader_test.cpp
+++ b/src/hickoryshore/http1/http_request_reader_test.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 const std::string simple = "GET /a/b?c=d HTTP/1.1\r\nHost: h.example\r\nRequest-Id: 1\r\n\r\n";
-const std::string chunked = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+const std::string chunked
+    = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
 
 Progress progressOf(std::string_view bytes, HttpRequestLimits limits = {})
 {
@@ -59,8 +60,8 @@
 {
     const std::string longHeader = "GET / HTTP/1.1\r\nX: " + std::string(5000, 'x') + "\r\n\r\n";
     BOOST_TEST((progressOf(longHeader, {.headerBytes = 1000}) == Progress::HeaderTooLarge));
-    BOOST_TEST((progressOf("POST / HTTP/1.1\r\nContent-Length: 2000\r\n\r\n", {.bodyBytes = 1000})
-                == Progress::BodyTooLarge));
+    BOOST_TEST(
+        (progressOf("POST / HTTP/1.1\r\nContent-Length: 2000\r\n\r\n", {.bodyBytes = 1000}) == Progress::BodyTooLarge));
 }
 
 BOOST_AUTO_TEST_CASE(two_framings_of_one_body_are_refused)
@@ -69,8 +70,8 @@
                 == Progress::Malformed));
     BOOST_TEST((progressOf("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n")
                 == Progress::Malformed));
-    BOOST_TEST((progressOf("POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc")
-                == Progress::Malformed));
+    BOOST_TEST(
+        (progressOf("POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc") == Progress::Malformed));
     BOOST_TEST((progressOf("GET / HTTP/1.1\r\nHost : h\r\n\r\n") == Progress::Malformed));
 }
 
--- a/src/hickoryshore/httpserver/http_listener.cpp
+++ b/src/hickoryshore/httpserver/http_listener.cpp
@@ -109,11 +109,7 @@
                            std::string_view address,
                            HttpListenerSettings settings,
                            HttpListenerHooks hooks)
-    : loop(loop),
-      settings(settings),
-      hooks(std::move(hooks)),
-      descriptor(listenOn(address)),
-      received(readSize)
+    : loop(loop), settings(settings), hooks(std::move(hooks)), descriptor(listenOn(address)), received(readSize)
 {
     this->loop.watch(this->descriptor, [this] {
         this->accept();
--- /dev/null
+++ b/src/hickoryshore/httpserver/http_listener_test.cpp
@@ -0,0 +1,193 @@
+// The listener over real connections, with its loop on a thread of its own.
+#include "hickoryshore/httpserver/http_listener.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <atomic>
+#include <string>
+#include <thread>
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace hickoryshore;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int longestReadMs = 5000;
+
+/// Returns a port of the loopback address that was free a moment ago.
+int freePort()
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    BOOST_REQUIRE(bind(descriptor, reinterpret_cast<const sockaddr *>(&address), size) == 0);
+    getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &size);
+    close(descriptor);
+    return ntohs(address.sin_port);
+}
+
+/// A client that writes bytes and reads what comes.
+class Client
+{
+public:
+    explicit Client(int port)
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        BOOST_REQUIRE(connect(this->descriptor, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0);
+    }
+
+    ~Client()
+    {
+        close(this->descriptor);
+    }
+
+    Client(const Client &) = delete;
+    Client &operator=(const Client &) = delete;
+
+    void send(std::string_view bytes) const
+    {
+        BOOST_REQUIRE(::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL)
+                      == static_cast<ssize_t>(bytes.size()));
+    }
+
+    /// Reads until the text has come, or the connection ends.
+    std::string readUntil(std::string_view wanted)
+    {
+        std::array<char, 4096> buffer;
+        pollfd readable{.fd = this->descriptor, .events = POLLIN, .revents = 0};
+        while (this->received.find(wanted) == std::string::npos && poll(&readable, 1, longestReadMs) == 1) {
+            const ssize_t count = recv(this->descriptor, buffer.data(), buffer.size(), 0);
+            if (count <= 0) {
+                break;
+            }
+            this->received.append(buffer.data(), static_cast<std::size_t>(count));
+        }
+        return std::exchange(this->received, {});
+    }
+
+    /// Reads to the end of the connection.
+    std::string readAll()
+    {
+        return this->readUntil(std::string(1, '\0') + "never");
+    }
+
+private:
+    int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    std::string received;
+};
+
+/// A listener that answers each request with its target, but for those to /wait.
+struct Server
+{
+    int port = freePort();
+    EventLoop loop{0};
+    std::atomic<int> left = 0;
+    std::atomic<int> refused = 0;
+    HttpListener listener;
+    std::thread thread;
+
+    Server()
+        : listener(this->loop,
+                   "127.0.0.1:" + std::to_string(this->port),
+                   {.limits = {.headerBytes = 1000, .bodyBytes = 1000}, .requestTimeout = 300ms, .idleTimeout = 1s},
+                   {.onRequest =
+                        [this](HttpCallId call, const HttpServerRequest &request) {
+                            if (request.target != "/wait") {
+                                this->listener.answer(call, {.body = request.target + request.body + "|"});
+                            }
+                        },
+                    .onClientLeft =
+                        [this](HttpCallId) {
+                            ++this->left;
+                        },
+                    .onRefused =
+                        [this](int) {
+                            ++this->refused;
+                        }}),
+          thread([this] {
+              this->loop.run();
+          })
+    { }
+
+    ~Server()
+    {
+        this->loop.stop();
+        this->thread.join();
+    }
+};
+
+const std::string get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(http_listener, Server)
+
+BOOST_AUTO_TEST_CASE(requests_on_one_connection_are_answered_in_their_order)
+{
+    Client client(this->port);
+    client.send(get + "POST /b HTTP/1.1\r\nContent-Length: 2\r\n\r\nxy" + get);
+    const std::string answers = client.readUntil("/a||") + client.readUntil("/a|");
+    const std::size_t first = answers.find("/a|");
+    const std::size_t second = answers.find("/bxy|");
+    BOOST_TEST(first < second);
+    BOOST_TEST(second < answers.rfind("/a|"));
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_ends_when_the_client_asks_for_it)
+{
+    Client client(this->port);
+    client.send("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+    const std::string answer = client.readAll();
+    BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+    BOOST_TEST(answer.ends_with("/a|"));
+}
+
+BOOST_AUTO_TEST_CASE(a_client_that_leaves_before_its_answer_is_noticed)
+{
+    {
+        Client client(this->port);
+        client.send("GET /wait HTTP/1.1\r\n\r\n");
+        std::this_thread::sleep_for(20ms);
+    }
+    for (int tries = 0; tries < 500 && this->left == 0; ++tries) {
+        std::this_thread::sleep_for(10ms);
+    }
+    BOOST_TEST(this->left == 1);
+}
+
+BOOST_AUTO_TEST_CASE(each_kind_of_bad_request_has_its_status)
+{
+    const auto statusOf = [this](std::string_view request) {
+        Client client(this->port);
+        client.send(request);
+        return client.readAll().substr(0, 12);
+    };
+    BOOST_TEST(statusOf("nonsense\r\n\r\n") == "HTTP/1.1 400");
+    BOOST_TEST(statusOf("GET /a HTTP/1.1\r\nX: " + std::string(2000, 'x') + "\r\n\r\n") == "HTTP/1.1 431");
+    BOOST_TEST(statusOf("POST /a HTTP/1.1\r\nContent-Length: 2000\r\n\r\n") == "HTTP/1.1 413");
+    BOOST_TEST(statusOf("POST /a HTTP/1.1\r\nContent-Length: 20\r\n\r\npart") == "HTTP/1.1 408");
+    BOOST_TEST(statusOf("POST /a HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n")
+               == "HTTP/1.1 400");
+    BOOST_TEST(this->refused == 5);
+}
+
+BOOST_AUTO_TEST_CASE(an_idle_connection_is_closed_after_its_time)
+{
+    Client client(this->port);
+    client.send(get);
+    BOOST_TEST(client.readUntil("/a|").find("200") != std::string::npos);
+    BOOST_TEST(client.readAll().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/hickoryshore/routes/service_split.cpp
+++ b/src/hickoryshore/routes/service_split.cpp
@@ -30,10 +30,10 @@
         return route.split.front().service;
     }
     Shares &shares = this->sharesOf(route);
-    const double total = std::accumulate(
-        route.split.begin(), route.split.end(), 0.0, [](double sum, const ServiceShare &share) {
-            return sum + share.weight;
-        });
+    const double total
+        = std::accumulate(route.split.begin(), route.split.end(), 0.0, [](double sum, const ServiceShare &share) {
+              return sum + share.weight;
+          });
     for (std::size_t number = 0; number < shares.lag.size(); ++number) {
         shares.lag[number] += total > 0.0 ? route.split[number].weight / total : 0.0;
     }
--- a/src/hickoryshore/shutdown/entry_points_test.cpp
+++ b/src/hickoryshore/shutdown/entry_points_test.cpp
@@ -108,12 +108,14 @@
 
 BOOST_AUTO_TEST_CASE(callers_of_a_region_without_replicas_are_sent_to_regions_that_have_them)
 {
-    const MembershipView preferred = preferMembers(makeView(), {{"cusco"}, {"highland"}}, {{{"coast"}, 20}, {{"highland"}, 1}});
+    const MembershipView preferred
+        = preferMembers(makeView(), {{"cusco"}, {"highland"}}, {{{"coast"}, 20}, {{"highland"}, 1}});
     BOOST_TEST(preferred.members.size() == 12);
     for (const Member &member : preferred.members) {
         BOOST_TEST(member.region.value == "coast");
     }
-    const MembershipView own = preferMembers(makeView(), {{"cusco"}, {"highland"}}, {{{"coast"}, 20}, {{"highland"}, 20}});
+    const MembershipView own
+        = preferMembers(makeView(), {{"cusco"}, {"highland"}}, {{{"coast"}, 20}, {{"highland"}, 20}});
     BOOST_TEST(own.members.size() == 6);
     BOOST_TEST(preferMembers(makeView(), {{"x"}, {"y"}}, {}).members.size() == 18);
 }
--- a/src/hickoryshore/statesync/prefix_follower_test.cpp
+++ b/src/hickoryshore/statesync/prefix_follower_test.cpp
@@ -74,7 +74,8 @@
         if (this->follower.nextTimer().has_value()) {
             this->follower.onTimer(start + passed, this->actions);
         } else {
-            this->follower.onChanges(start + passed, {.changes = {{"c", "x", ++revision}}, .asOf = revision}, this->actions);
+            this->follower.onChanges(
+                start + passed, {.changes = {{"c", "x", ++revision}}, .asOf = revision}, this->actions);
         }
         watches += static_cast<int>(this->take<WatchKeys>().size());
     }
--- a/src/hickoryshore/upstream/client_socket.h
+++ b/src/hickoryshore/upstream/client_socket.h
@@ -14,8 +14,8 @@
 /// Whether the opening of a connection that became writable succeeded.
 bool hasOpened(int descriptor);
 
-/// Has the kernel probe the connection while nothing is received, once in the interval (whole seconds, one at least), so
-/// that one that has gone silent fails after a few intervals.
+/// Has the kernel probe the connection while nothing is received, once in the interval (whole seconds, one at least),
+/// so that one that has gone silent fails after a few intervals.
 void probeWhileIdle(int descriptor, Duration interval);
 
 } // namespace hickoryshore
--- a/src/hickoryshore/upstream/http_connections.cpp
+++ b/src/hickoryshore/upstream/http_connections.cpp
@@ -344,10 +344,8 @@
 {
     const std::string &request = connection.exchange->request;
     while (connection.sent < request.size()) {
-        const ssize_t count = ::send(connection.descriptor,
-                                     request.data() + connection.sent,
-                                     request.size() - connection.sent,
-                                     MSG_NOSIGNAL);
+        const ssize_t count = ::send(
+            connection.descriptor, request.data() + connection.sent, request.size() - connection.sent, MSG_NOSIGNAL);
         if (count >= 0) {
             connection.sent += static_cast<std::size_t>(count);
         } else if (errno == EAGAIN) {
--- a/src/hickoryshore/upstream/upstream_pool.cpp
+++ b/src/hickoryshore/upstream/upstream_pool.cpp
@@ -122,8 +122,7 @@
     const ReplicaId &replica, UpstreamRequest request, Duration timeout, bool proven, UpstreamCompletion completion)
 {
     HttpExchange exchange;
-    exchange.request
-        = formatHttpRequest("POST", "/v1/sub-requests", replica.value, formatUpstreamRequest(request));
+    exchange.request = formatHttpRequest("POST", "/v1/sub-requests", replica.value, formatUpstreamRequest(request));
     exchange.timeout = timeout;
     exchange.proven = proven;
     exchange.waits = true;
--- a/tools/check_layers.sh
+++ b/tools/check_layers.sh
@@ -15,4 +15,11 @@
         fi
     done
 done
+# The names of the users' platform stand in platform/ alone.
+names='Part-Stamps|Missing-Parts|Time-Budget-Ms|Expect-Replica|Not-Executed|Response-Stamp|Replica-Load|Replica-Id'
+names+='|warmup_left_ms|min_part_share|kv-txn|kv-watch|kv-range|kv-lease|op/config|HICKORYSHORE_BOOT'
+if grep -rnE "$names" include src fakes bench examples; then
+    echo "names of the users' platform must not be used outside platform/" >&2
+    status=1
+fi
 exit $status
