Tell refused callers to come back when they can be served; leave without waiting for the log's threads

And 18 of 21 rolled processes were still there when their grace time ended: the log library's pool of threads was waited for after the last line. Ruled out: requests in flight (none) and the phases of the shutdown (3.9 s of 6).

--- a/include/hickoryshore/entry/entry_vm.h
+++ b/include/hickoryshore/entry/entry_vm.h
@@ -22,6 +22,9 @@
     /// Listens and joins the fleet. Before EventLoop::run(). Throws std::system_error.
     EntryVm(EventLoop &loop, const EntrySettings &settings, EntryDialect dialect, StoreAccess store);
 
+    /// Takes changed settings: the budget of extra attempts. Names and addresses hold until the process starts anew.
+    void reload(const EntrySettings &settings);
+
     /// The order to leave: the loop is stopped once no answer names this VM any more and nothing is in flight.
     void leave();
 
--- a/include/hickoryshore/entry/request_service.h
+++ b/include/hickoryshore/entry/request_service.h
@@ -22,8 +22,15 @@
 
 namespace hickoryshore {
 
-/// Gives answers to the callers' listener.
-using AnswerHook = std::function<void(HttpCallId, const HttpAnswer &)>;
+/// What a RequestService needs of its VM.
+struct RequestHooks
+{
+    /// Gives an answer to the callers' listener.
+    std::function<void(HttpCallId, const HttpAnswer &)> answer;
+
+    /// When a caller may come back that can't be served for want of routes or replicas.
+    std::function<Duration()> comeBackAfter;
+};
 
 /// All requests in flight at this VM. Lives on the loop's thread.
 class RequestService
@@ -34,9 +41,10 @@
                    const EntryDialect &dialect,
                    Metrics &metrics,
                    std::uint64_t seed,
-                   AnswerHook answer);
+                   RequestHooks hooks);
 
     void setRouteTable(std::shared_ptr<const RouteTable> table);
+    void setRepeatBudget(const RepeatBudget &budget);
     void setReplicas(const ReplicaRegistry &registry);
 
     /// Sets this VM's share, from 0 to 1, of the replicas' connections and of the budget of extra attempts.
@@ -123,7 +131,7 @@
     const EntrySettings &settings;
     const EntryDialect &dialect;
     Metrics &metrics;
-    AnswerHook answer;
+    RequestHooks hooks;
     EndpointTable table;
     ServiceSplit split;
     std::optional<RouteIndex> routes;
@@ -135,6 +143,7 @@
     std::unordered_map<HttpCallId, ActiveRequest> active;
     std::unordered_map<AttemptId, ActiveAttempt> attempts;
     std::uint64_t lastAttempt = 0;
+    RepeatBudget repeats;
     double fleetShare = 1.0;
 };
 
--- a/include/hickoryshore/entry/state_service.h
+++ b/include/hickoryshore/entry/state_service.h
@@ -52,6 +52,10 @@
     /// Whether routes and replicas are known.
     bool isComplete() const;
 
+    /// After which time a caller may come back that this VM can't serve for want of routes or replicas: soon where
+    /// other VMs can serve it, otherwise when the store is likely to have told.
+    Duration comeBackAfter() const;
+
     /// Of the configuration in force; zero while there is none.
     Revision revision() const;
 
--- a/src/hickoryshore/entry/entry_vm.cpp
+++ b/src/hickoryshore/entry/entry_vm.cpp
@@ -96,9 +96,14 @@
                this->dialect,
                this->metrics,
                this->seed,
-               [this](HttpCallId call, const HttpAnswer &answer) {
-                   this->callers.answer(call, answer);
-               }),
+               {.answer =
+                    [this](HttpCallId call, const HttpAnswer &answer) {
+                        this->callers.answer(call, answer);
+                    },
+                .comeBackAfter =
+                    [this] {
+                        return this->state.comeBackAfter();
+                    }}),
       state(loop,
             this->dialect,
             std::move(store),
@@ -306,6 +311,15 @@
     });
 }
 
+void EntryVm::reload(const EntrySettings &changed)
+{
+    this->requests.setRepeatBudget(changed.repeats);
+    writeLog({.slice = slice,
+              .event = "reloaded",
+              .fields = {{"repeatRatio", std::to_string(changed.repeats.ratio)},
+                         {"repeatSlack", std::to_string(changed.repeats.slack)}}});
+}
+
 void EntryVm::advanceShutdown()
 {
     std::vector<ShutdownAction> actions;
--- a/src/hickoryshore/entry/request_answers.cpp
+++ b/src/hickoryshore/entry/request_answers.cpp
@@ -55,7 +55,9 @@
             return this->forwardedAnswer(reply);
         }
     }
-    return this->refusalAnswer(request.forwarding->requestId, outcome.code, outcome.retryAfter);
+    const Duration retryAfter
+        = outcome.code == ResultCode::NoReplica ? this->hooks.comeBackAfter() : outcome.retryAfter;
+    return this->refusalAnswer(request.forwarding->requestId, outcome.code, retryAfter);
 }
 
 HttpAnswer RequestService::mergedAnswer(const ActiveRequest &request, const FinishRun &outcome) const
--- a/src/hickoryshore/entry/request_service.cpp
+++ b/src/hickoryshore/entry/request_service.cpp
@@ -20,8 +20,6 @@
 /// An attempt that nobody waits for any more may end by itself until it is this old, so that its connection and its
 /// latency are of use.
 constexpr Duration strayLimit = 400ms;
-/// When a caller may come back to a VM that knows no configuration yet.
-constexpr Duration comeBackUnready = 300ms;
 /// Of the connections that a replica accepts, the part that is divided between the VMs.
 constexpr double sharedConnections = 0.85;
 /// Room for the header fields that this VM adds.
@@ -50,24 +48,31 @@
                                const EntryDialect &dialect,
                                Metrics &metrics,
                                std::uint64_t seed,
-                               AnswerHook answer)
+                               RequestHooks hooks)
     : loop(loop),
       settings(settings),
       dialect(dialect),
       metrics(metrics),
-      answer(std::move(answer)),
+      hooks(std::move(hooks)),
       table(seed),
       split(seed),
       upstream(std::make_shared<HttpConnections>(
           loop, HttpConnectionSettings{.responses = {.withoutLength = true, .excess = true, .keepHeaders = true}}))
 {
+    this->repeats = settings.repeats;
     this->setShare(1.0);
 }
 
+void RequestService::setRepeatBudget(const RepeatBudget &budget)
+{
+    this->repeats = budget;
+    this->table.setRepeatBudget(this->repeats, this->fleetShare);
+}
+
 void RequestService::setShare(double share)
 {
     this->fleetShare = share;
-    this->table.setRepeatBudget(this->settings.repeats, share);
+    this->table.setRepeatBudget(this->repeats, share);
     if (this->routeTable != nullptr) {
         this->setRouteTable(this->routeTable);
     }
@@ -155,7 +160,7 @@
               .fields = {{"host", std::string(findHeader(request.headers, "Host").value_or(""))},
                          {"path", std::string(pathOf(request.target))},
                          {"version", std::to_string(this->routes.has_value() ? this->routes->table().version : 0)}}});
-    this->answer(call, this->refusalAnswer(id, code, comeBackUnready));
+    this->hooks.answer(call, this->refusalAnswer(id, code, this->hooks.comeBackAfter()));
 }
 
 RouteLatency &RequestService::latencyOf(const Route &route)
@@ -450,7 +455,7 @@
     this->metrics.countAnswer(outcome.code);
     this->metrics.observe(Latency::Query, monotonicNow() - finished.arrival);
     this->logFinish(finished, outcome, reply.status);
-    this->answer(call, reply);
+    this->hooks.answer(call, reply);
 }
 
 void RequestService::onClientLeft(HttpCallId call)
--- a/src/hickoryshore/entry/request_service_test.cpp
+++ b/src/hickoryshore/entry/request_service_test.cpp
@@ -44,9 +44,19 @@
     Metrics metrics;
     int nextPort = firstPort;
     std::deque<HttpListener> servers;
-    RequestService service{loop, settings, dialect, metrics, 1, [this](HttpCallId call, const HttpAnswer &answer) {
-                               this->front.answer(call, answer);
-                           }};
+    RequestService service{loop,
+                           settings,
+                           dialect,
+                           metrics,
+                           1,
+                           {.answer =
+                                [this](HttpCallId call, const HttpAnswer &answer) {
+                                    this->front.answer(call, answer);
+                                },
+                            .comeBackAfter =
+                                [] {
+                                    return Duration(300ms);
+                                }}};
     HttpListener front{loop,
                        "127.0.0.1:23700",
                        {},
--- a/src/hickoryshore/entry/state_service.cpp
+++ b/src/hickoryshore/entry/state_service.cpp
@@ -23,6 +23,11 @@
 constexpr Duration patienceWithSource = 400ms;
 /// Of the changes that come at once, so many are logged one by one.
 constexpr std::size_t loggedChanges = 8;
+/// When a caller may come back that was sent here while other VMs serve: it connects to one of those.
+constexpr Duration comeBackToOthers = 100ms;
+/// The same where none does: entries of live replicas are back within two seconds of the store's return, and a caller
+/// whose time is shorter comes back earlier.
+constexpr Duration comeBackLater = 1s;
 constexpr int statusUnavailable = 503;
 constexpr int statusGone = 410;
 constexpr std::string_view slice = "state";
@@ -362,6 +367,15 @@
     return this->routes != nullptr && this->prefixes[Replicas].listed;
 }
 
+Duration StateService::comeBackAfter() const
+{
+    const bool othersServe
+        = this->members != nullptr && std::ranges::any_of(this->members->members, [this](const Member &member) {
+              return member.vm != this->members->self && isUsable(member) && member.configRevision.value > 0;
+          });
+    return othersServe && !this->isComplete() ? comeBackToOthers : comeBackLater;
+}
+
 Revision StateService::revision() const
 {
     return this->routesRevision;
--- a/src/hickoryshore/log/log.cpp
+++ b/src/hickoryshore/log/log.cpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 
+#include <log4cplus/config.hxx>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -153,6 +154,8 @@
     static const log4cplus::Initializer initializer;
     identity() = {std::string(vm), std::string(dataCentre)};
     if (output == LogOutput::BoundedOutput) {
+        // The pool serves asynchronous appenders, of which there is none.
+        log4cplus::setThreadPoolSize(0);
         logger().addAppender(log4cplus::SharedAppenderPtr(new BoundedAppender));
     } else {
         log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
