Name the missed services in the line of an answer in part

The line told how many parts were missing but not which, nor why: from a request's id one could not come to the replica. request_run_test checks it.

--- a/include/hickoryshore/dispatch/request_run.h
+++ b/include/hickoryshore/dispatch/request_run.h
@@ -56,12 +56,19 @@
     bool callerLeft = false; ///< The replica has to stop now.
 };
 
+/// A part that an answer lacks, and what ended its last attempt; Ok where one was still in flight.
+struct MissedPart
+{
+    ServiceId service;
+    ResultCode code = ResultCode::Ok;
+};
+
 /// Give the caller its final answer. Each run gets one, unless it is abandoned.
 struct FinishRun
 {
     ResultCode code = ResultCode::Ok; ///< Ok, PartialAnswer, or why there is no answer.
     std::vector<AttemptId> answered; ///< The attempts whose replies make up the answer, in the order of the services.
-    std::size_t missing = 0; ///< Parts that the answer lacks.
+    std::vector<MissedPart> missed; ///< Parts that the answer lacks.
     std::optional<AttemptId> failureReply; ///< Without an answer: the attempt whose reply tells the failure.
     bool sent = false; ///< Whether any replica can have received a part.
     Duration retryAfter{0}; ///< When to come back, where nothing ran.
@@ -113,7 +120,7 @@
         std::optional<Instant> retryAt; ///< The replicas refused; the next attempt is due then.
         std::optional<AttemptId> answeredBy;
         std::optional<AttemptId> failureReply;
-        ResultCode last = ResultCode::NoReplica; ///< What ended the last attempt.
+        ResultCode last = ResultCode::NoReplica; ///< What ended the last attempt, where one was made.
         bool ran = false; ///< An attempt may have run.
         bool arrived = false; ///< An attempt may have reached a replica.
     };
--- a/src/hickoryshore/dispatch/request_run.cpp
+++ b/src/hickoryshore/dispatch/request_run.cpp
@@ -286,13 +286,16 @@
 void RequestRun::finish(ResultCode code, std::vector<RunAction> &actions)
 {
     this->ended = true;
-    FinishRun answer{.code = code, .missing = this->parts.size() - this->answered};
-    for (Part &part : this->parts) {
+    FinishRun answer{.code = code};
+    for (std::size_t number = 0; number < this->parts.size(); ++number) {
+        Part &part = this->parts[number];
         answer.sent = answer.sent || part.arrived;
         if (part.answeredBy.has_value()) {
             answer.answered.push_back(*part.answeredBy);
-        } else if (part.failureReply.has_value()) {
-            answer.failureReply = part.failureReply;
+        } else {
+            const bool inFlight = part.state == PartState::Waiting && part.count > 0 && !part.retryAt.has_value();
+            answer.missed.push_back({this->settings.services[number], inFlight ? ResultCode::Ok : part.last});
+            answer.failureReply = part.failureReply.has_value() ? part.failureReply : answer.failureReply;
         }
         this->dropLive(part, false, actions);
     }
--- a/src/hickoryshore/dispatch/request_run_test.cpp
+++ b/src/hickoryshore/dispatch/request_run_test.cpp
@@ -119,7 +119,9 @@
     BOOST_TEST((now == start + 75ms));
     const auto finished = this->take<FinishRun>();
     BOOST_TEST((finished.at(0).code == ResultCode::PartialAnswer));
-    BOOST_TEST(finished.at(0).missing == 1);
+    BOOST_REQUIRE(finished.at(0).missed.size() == 1);
+    BOOST_TEST(finished.at(0).missed.front().service.value == "3");
+    BOOST_TEST((finished.at(0).missed.front().code == ResultCode::Ok));
 }
 
 BOOST_AUTO_TEST_CASE(too_few_parts_are_no_answer_and_told_at_once)
--- a/src/hickoryshore/entry/request_answers.cpp
+++ b/src/hickoryshore/entry/request_answers.cpp
@@ -4,6 +4,9 @@
 #include "hickoryshore/entry/request_service.h"
 #include "hickoryshore/log/log.h"
 
+#include <algorithm>
+#include <span>
+
 #include <xxhash.h>
 
 namespace hickoryshore {
@@ -15,6 +18,9 @@
 /// Of the answers that are whole, one in so many is logged, by the hash of its request id: all VMs log the same ones.
 constexpr std::uint64_t sampledAnswers = 64;
 
+/// Missed services that a log line names.
+constexpr std::size_t mostMissedNamed = 3;
+
 constexpr int statusBadGateway = 502;
 constexpr int statusUnavailable = 503;
 constexpr int statusGatewayTimeout = 504;
@@ -36,6 +42,17 @@
     return text.substr(0, text.find('.') + 4);
 }
 
+/// The first of the missed services, each with what ended its last attempt.
+std::string missedText(std::span<const MissedPart> missed)
+{
+    std::string text;
+    for (const MissedPart &part : missed.first(std::min(missed.size(), mostMissedNamed))) {
+        text.append(text.empty() ? "" : " ").append(part.service.value).append("=");
+        text.append(part.code == ResultCode::Ok ? "inFlight" : resultCodeInfo(part.code).name);
+    }
+    return text;
+}
+
 } // namespace
 
 HttpAnswer RequestService::answerOf(const ActiveRequest &request, const FinishRun &outcome) const
@@ -73,7 +90,7 @@
     HttpAnswer merged;
     merged.headers = {{this->dialect.headers.requestId, request.forwarding->requestId},
                       {this->dialect.headers.coveredSignatures, std::move(signatures)},
-                      {this->dialect.headers.missingShards, std::to_string(outcome.missing)}};
+                      {this->dialect.headers.missingShards, std::to_string(outcome.missed.size())}};
     merged.body = greatestRecords(parts, this->dialect.recordBytes, request.route->topRecords);
     return merged;
 }
@@ -120,7 +137,8 @@
                          {"ageMs", std::to_string(age / 1ms)},
                          {"attempts", std::to_string(request.attempts)},
                          {"hedges", std::to_string(request.hedges)},
-                         {"missing", std::to_string(outcome.missing)},
+                         {"missing", std::to_string(outcome.missed.size())},
+                         {"missed", missedText(outcome.missed)},
                          {"lastFailure", std::string(resultCodeInfo(request.lastFailure).name)},
                          {"sent", outcome.sent ? "true" : "false"}}});
 }
--- a/src/hickoryshore/httpserver/http_listener.cpp
+++ b/src/hickoryshore/httpserver/http_listener.cpp
@@ -231,7 +231,12 @@
     connection.closing = connection.closing || !request.keepAlive;
     this->calls.emplace(connection.call, id);
     this->hooks.onRequest(connection.call, std::move(request));
-    return this->open.contains(id);
+    const auto still = this->open.find(id);
+    if (still != this->open.end() && !still->second.reader.hold({})) {
+        this->close(id, true);
+        return false;
+    }
+    return still != this->open.end();
 }
 
 void HttpListener::refuse(Id id, Connection &connection, int status)
