--- a/include/hickoryshore/entry/request_service.h
+++ b/include/hickoryshore/entry/request_service.h
@@ -75,6 +75,7 @@
         const Route *route = nullptr;
         Instant arrival;
         std::shared_ptr<const Forwarding> forwarding;
+        std::shared_ptr<RouteLatency> latency;
         std::unique_ptr<RequestRun> run;
         std::unordered_map<AttemptId, UpstreamHttpResponse> replies;
         Instant timerAt = Instant::max();
@@ -87,7 +88,7 @@
     {
         HttpCallId call; ///< Zero once nobody waits for it any more.
         EndpointId endpoint;
-        RouteLatency *latency = nullptr;
+        std::shared_ptr<RouteLatency> latency;
         HttpExchangeId exchange;
         Instant sentAt;
         bool merged = false;
@@ -106,7 +107,8 @@
     void begin(HttpCallId call, const Route &route, const HttpServerRequest &request);
     RunSettings runSettings(const Route &route, Instant now, Duration remaining);
     std::shared_ptr<const Forwarding> forwardingOf(const HttpServerRequest &request) const;
-    RouteLatency &latencyOf(const Route &route);
+    std::shared_ptr<RouteLatency> latencyOf(const Route &route);
+    void forgetOldRoutes();
 
     void perform(HttpCallId call, std::vector<RunAction> &actions);
     std::optional<std::string> requestBytes(const Forwarding &forwarding,
@@ -136,7 +138,7 @@
     ServiceSplit split;
     std::optional<RouteIndex> routes;
     std::shared_ptr<const RouteTable> routeTable;
-    std::unordered_map<RouteId, std::unique_ptr<RouteLatency>> latencies;
+    std::unordered_map<RouteId, std::shared_ptr<RouteLatency>> latencies;
     std::unordered_map<EndpointId, Replica> replicas;
     ReplicasByRegion regionReplicas;
     std::shared_ptr<HttpConnections> upstream;
--- a/src/hickoryshore/entry/request_service.cpp
+++ b/src/hickoryshore/entry/request_service.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <unordered_set>
 #include <utility>
 
 namespace hickoryshore {
@@ -82,6 +83,7 @@
 {
     this->routeTable = std::move(changed);
     this->routes.emplace(this->routeTable);
+    this->forgetOldRoutes();
     std::unordered_map<ServiceId, int> limits;
     for (const ServiceLimits &service : this->routeTable->services) {
         const double share = sharedConnections * service.connectionsPerReplica * this->fleetShare;
@@ -163,13 +165,25 @@
     this->hooks.answer(call, this->refusalAnswer(id, code, this->hooks.comeBackAfter()));
 }
 
-RouteLatency &RequestService::latencyOf(const Route &route)
+std::shared_ptr<RouteLatency> RequestService::latencyOf(const Route &route)
 {
-    std::unique_ptr<RouteLatency> &latency = this->latencies[route.name];
+    std::shared_ptr<RouteLatency> &latency = this->latencies[route.name];
     if (latency == nullptr) {
-        latency = std::make_unique<RouteLatency>(route.latencyObjective);
+        latency = std::make_shared<RouteLatency>(route.latencyObjective);
     }
-    return *latency;
+    return latency;
+}
+
+/// Drops what is known of routes that the configuration no longer has; requests in flight keep theirs.
+void RequestService::forgetOldRoutes()
+{
+    std::unordered_set<RouteId> current;
+    for (const Route &route : this->routeTable->routes) {
+        current.insert(route.name);
+    }
+    std::erase_if(this->latencies, [&current](const auto &entry) {
+        return !current.contains(entry.first);
+    });
 }
 
 RunSettings RequestService::runSettings(const Route &route, Instant now, Duration remaining)
@@ -222,8 +236,9 @@
     started.route = &route;
     started.arrival = now;
     started.forwarding = this->forwardingOf(request);
+    started.latency = this->latencyOf(route);
     started.run = std::make_unique<RequestRun>(
-        this->runSettings(route, now, remaining), this->table, this->latencyOf(route), this->lastAttempt);
+        this->runSettings(route, now, remaining), this->table, *started.latency, this->lastAttempt);
     std::vector<RunAction> actions;
     started.run->start(now, actions);
     this->perform(call, actions);
@@ -305,7 +320,7 @@
     }
     this->attempts[action.attempt] = {.call = call,
                                       .endpoint = action.endpoint,
-                                      .latency = &this->latencyOf(*request.route),
+                                      .latency = request.latency,
                                       .exchange = this->upstream->start(replica.address, std::move(exchange)),
                                       .sentAt = monotonicNow(),
                                       .merged = !request.route->shards.empty()};
@@ -348,44 +363,6 @@
     }
 }
 
-AttemptEnd RequestService::classify(const ActiveAttempt &attempt, const HttpExchangeEnd &end, Instant now) const
-{
-    AttemptEnd result{.sent = end.sent, .latency = now - attempt.sentAt};
-    if (end.failure.has_value()) {
-        switch (*end.failure) {
-        case HttpFailure::Connect:
-            result.code = ResultCode::ConnectFailed;
-            result.sent = false;
-            break;
-        case HttpFailure::Closed:
-            result.code = end.sent ? ResultCode::ConnectionLost : ResultCode::ConnectFailed;
-            break;
-        case HttpFailure::Timeout:
-            result.code = ResultCode::ConnectionSilent;
-            break;
-        case HttpFailure::Malformed:
-            result.code = ResultCode::UpstreamGarbage;
-            break;
-        }
-        return result;
-    }
-    const ForwardingHeaders &names = this->dialect.headers;
-    const int status = end.response.status;
-    const bool success = status / 100 == 2;
-    if (const auto load = findHeader(end.response.headers, names.replicaLoad)) {
-        result.waiting = this->dialect.parseWaiting(*load);
-    }
-    if (status == 421) {
-        result.code = ResultCode::UpstreamDraining;
-    } else if (findHeader(end.response.headers, names.notExecuted).has_value()) {
-        result.code = ResultCode::UpstreamShed;
-    } else if (success ? !findHeader(end.response.headers, names.resultSignature).has_value()
-                       : attempt.merged || status >= 500) {
-        result.code = ResultCode::UpstreamError;
-    }
-    return result;
-}
-
 void RequestService::onExchangeEnd(AttemptId attempt, HttpExchangeEnd end)
 {
     const auto found = this->attempts.find(attempt);
