--- a/src/hickoryshore/upstream/upstream_connections_test.cpp
+++ b/src/hickoryshore/upstream/upstream_connections_test.cpp
@@ -258,3 +258,42 @@
     loop.run();
     BOOST_TEST((codes == std::vector{ResultCode::ConnectFailed, ResultCode::Ok}));
 }
+
+BOOST_AUTO_TEST_CASE(a_request_is_made_when_a_connection_takes_it_and_not_sent_when_it_is_too_late)
+{
+    BytesServer server({httpResponse("first")});
+    EventLoop loop(0);
+    const auto connections = std::make_shared<HttpConnections>(loop, HttpConnectionSettings{.connectionsPerServer = 1});
+    std::vector<std::string> made;
+    std::vector<HttpExchangeEnd> ends;
+    const auto exchange = [&](const std::string &name, bool inTime) {
+        HttpExchange started{.timeout = 5s, .waits = true};
+        started.makeRequest = [&made, &ends, name, inTime]() -> std::optional<std::string> {
+            made.push_back(name + " after " + std::to_string(ends.size()));
+            return inTime ? std::optional(formatHttpRequest("GET", "/", "h", "")) : std::nullopt;
+        };
+        started.onEnd = [&](HttpExchangeEnd end) {
+            ends.push_back(std::move(end));
+            if (ends.size() == 3) {
+                loop.stop();
+            }
+        };
+        return started;
+    };
+    loop.post([&] {
+        connections->start(server.replica().value, exchange("a", true));
+        connections->start(server.replica().value, exchange("b", false));
+        connections->start(server.replica().value, exchange("c", true));
+    });
+    loop.run();
+    BOOST_TEST(made.size() == 3);
+    // The one connection takes b only once a has its answer.
+    BOOST_TEST(made.at(1) == "b after 1");
+    BOOST_TEST(!ends.at(0).failure.has_value());
+    BOOST_TEST(std::ranges::count_if(ends,
+                                     [](const HttpExchangeEnd &end) {
+                                         return end.failure == HttpFailure::Connect && !end.sent;
+                                     })
+               == 1);
+    BOOST_TEST(connections->counts().opened == 1U);
+}
