Send nothing to an address that another replica has taken over

Ruled out: fresh budgets of restarted processes (none started before 14 s), attempts that never arrived (each has taken a token).

Change: nothing goes to it for 5 s, or until it registers anew; test an_address_that_another_replica_has_taken_over_gets_nothing_even_as_the_last_choice fails without it.

--- a/include/hickoryshore/dispatch/endpoint_table.h
+++ b/include/hickoryshore/dispatch/endpoint_table.h
@@ -120,6 +120,7 @@
         int waiting = 0; ///< Its queue, as it told at waitingAt.
         Instant waitingAt;
         ReplicaHealth health;
+        Instant misdirectedUntil; ///< Another replica has its address: nothing goes there until then.
         bool removed = false; ///< No longer listed; attempts may still be in flight.
     };
 
--- a/src/hickoryshore/dispatch/endpoint_table.cpp
+++ b/src/hickoryshore/dispatch/endpoint_table.cpp
@@ -136,10 +136,11 @@
     std::optional<EndpointId> best;
     double bestCost = std::numeric_limits<double>::infinity();
     for (const EndpointId id : found->second.endpoints) {
-        if (std::ranges::find(excluded, id) != excluded.end()) {
+        const Endpoint &endpoint = this->endpoints.at(id);
+        if (endpoint.misdirectedUntil > now || std::ranges::find(excluded, id) != excluded.end()) {
             continue;
         }
-        const double cost = this->costOf(this->endpoints.at(id), now, latency);
+        const double cost = this->costOf(endpoint, now, latency);
         if (cost < bestCost) {
             best = id;
             bestCost = cost;
@@ -210,8 +211,8 @@
         std::uniform_real_distribution<double> share(0.0, 1.0);
         endpoint.health.countShed(now, share(this->random));
     } else if (end.code == ResultCode::UpstreamDraining) {
-        // It is another replica, or one that leaves: nothing more goes there until the registration tells.
-        endpoint.health.ejectedUntil = now + refusedElsewhere;
+        // What goes there only adds to the load of another service, whose budget of extra attempts it uses up.
+        endpoint.misdirectedUntil = now + refusedElsewhere;
         change = {.endpoint = id, .ejected = true};
     } else if (endpoint.health.countFailure(now)) {
         change = {.endpoint = id, .ejected = true, .failures = endpoint.health.consecutiveFailures};
--- a/src/hickoryshore/dispatch/endpoint_table_test.cpp
+++ b/src/hickoryshore/dispatch/endpoint_table_test.cpp
@@ -90,6 +90,15 @@
     BOOST_TEST((this->choose(start, {far}) == near));
 }
 
+BOOST_AUTO_TEST_CASE(an_address_that_another_replica_has_taken_over_gets_nothing_even_as_the_last_choice)
+{
+    this->table.countSent(start, near);
+    const auto change = this->table.countEnd(start, near, this->latency, {.code = ResultCode::UpstreamDraining});
+    BOOST_TEST((change.has_value() && change->ejected));
+    BOOST_TEST((this->choose(start, {far}) == EndpointId{}));
+    BOOST_TEST((this->choose(start + 4s, {far}) == EndpointId{}));
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_replica_gets_nothing)
 {
     std::vector<DirectReplica> replicas = {replica(near, Distance::SameRegion), replica(far, Distance::OtherRegion)};
