Rank the readers of the store once for each data centre

Cause: entry_test took 61 s under the sanitizers and 8.3 s without: with 138 VMs one choice of the VM to follow ranked each data centre once for each member, 0.5 ms. Ruled out: a loop that spins (state_service's tests wait 0.55 s each).

Before and after, entry_test: 6.6 s -> 0.3 s of processor time.

--- a/src/hickoryshore/entry/store_sharing.cpp
+++ b/src/hickoryshore/entry/store_sharing.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <map>
 #include <utility>
 
 #include "state.pb.h"
@@ -133,12 +134,16 @@
     const bool anywhere = isReader || failures > 0;
     std::vector<const Member *> sources;
     std::vector<const Member *> informed;
+    std::map<DataCentreId, std::vector<VmId>> readersOf; // Once for each data centre: fleets are large.
     for (const Member &member : view.members) {
         if (member.vm == view.self || !isUsable(member) || (!anywhere && member.dataCentre != self->dataCentre)) {
             continue;
         }
-        const std::vector<VmId> readers = storeReaders(view, member.dataCentre);
-        if (std::ranges::find(readers, member.vm) != readers.end()) {
+        const auto [known, isNew] = readersOf.try_emplace(member.dataCentre);
+        if (isNew) {
+            known->second = storeReaders(view, member.dataCentre);
+        }
+        if (std::ranges::find(known->second, member.vm) != known->second.end()) {
             sources.push_back(&member);
             if (member.configRevision.value > 0) {
                 informed.push_back(&member);
