Use what the project has, and do the work of a change once

Found by reading the change again; behaviour stays as it was.

- The reply of an upstream was parsed twice since the connections became a general pool: once, where it is asked whether it belongs to the attempt.
- Each batch of changed replicas built the index of routes anew: only the limits of connections are set again.
- Forwarding a request copied each of its header fields to compare the name.
- Out, since nothing calls them: EndpointTable::isServed(), giveBackRepeat() and size(), TokenBudget::giveBack(), RegisteredReplica::heardAt with the time that put() took for it; Part::ran, which the attempts tell.
- Times and counts that stood as bare numbers have names; an address that is none is refused where it is listened on.

--- a/include/hickoryshore/dispatch/endpoint_table.h
+++ b/include/hickoryshore/dispatch/endpoint_table.h
@@ -80,9 +80,6 @@
                                      const RouteLatency &latency,
                                      std::span<const EndpointId> excluded);
 
-    /// Whether the service has a replica that takes new work.
-    bool isServed(const ServiceId &service) const;
-
     /// Counts a caller's request for the service: it earns a part of an extra attempt.
     void countRequest(const ServiceId &service);
 
@@ -90,9 +87,6 @@
     /// for retries.
     bool takeRepeat(const ServiceId &service, bool isHedge);
 
-    /// Gives an extra attempt back that did not reach a replica.
-    void giveBackRepeat(const ServiceId &service);
-
     void countSent(Instant now, EndpointId endpoint);
 
     /// Takes the end of an attempt. Returns what it changed about the replica, if that is worth a log line.
@@ -106,8 +100,6 @@
 
     Distance distanceOf(EndpointId endpoint) const;
 
-    std::size_t size() const;
-
 private:
     struct Endpoint
     {
--- a/include/hickoryshore/dispatch/request_run.h
+++ b/include/hickoryshore/dispatch/request_run.h
@@ -121,7 +121,6 @@
         std::optional<AttemptId> answeredBy;
         std::optional<AttemptId> failureReply;
         ResultCode last = ResultCode::NoReplica; ///< What ended the last attempt, where one was made.
-        bool ran = false; ///< An attempt may have run.
         bool arrived = false; ///< An attempt may have reached a replica.
     };
 
--- a/include/hickoryshore/entry/request_service.h
+++ b/include/hickoryshore/entry/request_service.h
@@ -109,6 +109,7 @@
     std::shared_ptr<const Forwarding> forwardingOf(const HttpServerRequest &request) const;
     std::shared_ptr<RouteLatency> latencyOf(const Route &route);
     void forgetOldRoutes();
+    void limitConnections();
 
     void perform(HttpCallId call, std::vector<RunAction> &actions);
     std::optional<std::string> requestBytes(const Forwarding &forwarding,
--- a/include/hickoryshore/http/http_message.h
+++ b/include/hickoryshore/http/http_message.h
@@ -34,6 +34,9 @@
     std::string contentType = "application/json";
 };
 
+/// Whether two names of header fields are the same; case does not count.
+bool isSameHeader(std::string_view left, std::string_view right);
+
 /// Returns the value of the first header with this name (compared without case), or nothing.
 std::optional<std::string_view> findHeader(const std::vector<HttpHeader> &headers, std::string_view name);
 
--- a/include/hickoryshore/registry/replica_registry.h
+++ b/include/hickoryshore/registry/replica_registry.h
@@ -3,7 +3,7 @@
 // Events and the time go in; nothing here reads a clock or a socket. For example:
 //
 //     ReplicaRegistry registry;
-//     registry.put(now, "i-7f3a", record);
+//     registry.put("i-7f3a", record);
 //     registry.remove(now, "i-7f3a", false);   // no new work goes there
 //     for (const auto &[key, replica] : registry.replicas()) { ... }
 #pragma once
@@ -42,7 +42,6 @@
     EndpointId endpoint; ///< Another one after each start and each change of the address.
     std::string name; ///< Under which it is registered.
     ReplicaRecord record;
-    Instant heardAt; ///< When the record came.
     std::optional<Instant> lapsesAt; ///< The entry vanished while the store was away: the replica counts until then.
 };
 
@@ -62,7 +61,7 @@
     static constexpr Duration lapseAllowance = std::chrono::milliseconds(2500);
 
     /// A replica registered or changed its record.
-    void put(Instant now, std::string_view name, const ReplicaRecord &record);
+    void put(std::string_view name, const ReplicaRecord &record);
 
     /// An entry vanished. `storeWasAway` says that it may have lapsed though the replica lives.
     void remove(Instant now, std::string_view name, bool storeWasAway);
--- a/include/hickoryshore/shard/token_budget.h
+++ b/include/hickoryshore/shard/token_budget.h
@@ -30,9 +30,6 @@
     /// Changes what may be saved up; tokens beyond it are lost.
     void setReserve(double reserve);
 
-    /// Gives back a token that was not needed.
-    void giveBack();
-
 private:
     double earnedPerSubRequest;
     double reserve;
--- a/src/hickoryshore/daemon/daemon.cpp
+++ b/src/hickoryshore/daemon/daemon.cpp
@@ -3,19 +3,21 @@
 #include "daemon_state.h"
 
 #include "hickoryshore/clock/clock.h"
+#include "hickoryshore/eventloop/signals.h"
 #include "hickoryshore/log/log.h"
 
+#include <array>
 #include <csignal>
-#include <stdexcept>
 #include <utility>
 
-#include <sys/signalfd.h>
 #include <unistd.h>
 
 namespace hickoryshore {
 
 namespace {
 
+constexpr std::array ordersToLeave = {SIGTERM, SIGINT};
+
 /// How often a leaving VM looks whether its next step is due.
 constexpr Duration shutdownCheckPeriod = std::chrono::milliseconds(50);
 
@@ -25,21 +27,6 @@
 /// Calls to the platform's service that may wait at once: watches, list, ledger.
 constexpr int platformThreads = 12;
 
-/// Blocks SIGTERM and SIGINT in this and all later threads, and returns a descriptor that tells of them.
-int openSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    const int descriptor = signalfd(-1, &signals, SFD_CLOEXEC | SFD_NONBLOCK);
-    if (descriptor < 0) {
-        throw std::runtime_error("cannot create a signal descriptor");
-    }
-    return descriptor;
-}
-
 Member selfOf(const DaemonSettings &settings)
 {
     Member self;
@@ -73,7 +60,7 @@
 
 Daemon::State::State(DaemonSettings given)
     : settings(std::move(given)),
-      signals(openSignals()),
+      signals(openSignals(ordersToLeave)),
       platform({this->settings.platformAddress, this->settings.platformPort, this->settings.platformTimeout}),
       control(platformThreads),
       random(std::random_device{}()),
@@ -124,9 +111,9 @@
 
 void Daemon::State::onSignal()
 {
-    signalfd_siginfo info{};
-    static_cast<void>(!read(this->signals, &info, sizeof(info)));
-    this->beginShutdown();
+    while (nextSignal(this->signals).has_value()) {
+        this->beginShutdown();
+    }
 }
 
 void Daemon::State::beginShutdown()
--- a/src/hickoryshore/dispatch/endpoint_table.cpp
+++ b/src/hickoryshore/dispatch/endpoint_table.cpp
@@ -149,12 +149,6 @@
     return best;
 }
 
-bool EndpointTable::isServed(const ServiceId &service) const
-{
-    const auto found = this->services.find(service);
-    return found != this->services.end() && !found->second.endpoints.empty();
-}
-
 void EndpointTable::countRequest(const ServiceId &service)
 {
     this->serviceOf(service).repeats.earn();
@@ -166,11 +160,6 @@
     return this->serviceOf(service).repeats.trySpend(isHedge && reserve >= reserveWithKept ? 1.0 / reserve : 0.0);
 }
 
-void EndpointTable::giveBackRepeat(const ServiceId &service)
-{
-    this->serviceOf(service).repeats.giveBack();
-}
-
 void EndpointTable::countSent(Instant now, EndpointId id)
 {
     Endpoint &endpoint = this->endpoints.at(id);
@@ -252,9 +241,4 @@
     return found == this->endpoints.end() ? Distance::SameRegion : found->second.replica.distance;
 }
 
-std::size_t EndpointTable::size() const
-{
-    return this->endpoints.size();
-}
-
 } // namespace hickoryshore
--- a/src/hickoryshore/dispatch/request_run.cpp
+++ b/src/hickoryshore/dispatch/request_run.cpp
@@ -16,6 +16,8 @@
 constexpr Duration refusalPause = 25ms;
 /// When a caller may come back whose request no replica could take.
 constexpr Duration comeBackAfter = 200ms;
+/// A share such as 0.7 of 10 parts is 7, also where it is not exact in binary.
+constexpr double roundingSlack = 1e-9;
 /// Hedges of one part.
 constexpr std::size_t mostHedges = 2;
 /// A hedge that found no budget or no replica is tried again after this time.
@@ -37,7 +39,8 @@
 std::size_t RequestRun::needed() const
 {
     const double share = this->settings.merged ? this->settings.minimumCoverage : 1.0;
-    const auto least = static_cast<std::size_t>(std::ceil(share * static_cast<double>(this->parts.size()) - 1e-9));
+    const auto least
+        = static_cast<std::size_t>(std::ceil(share * static_cast<double>(this->parts.size()) - roundingSlack));
     return std::max<std::size_t>(1, least);
 }
 
@@ -191,7 +194,6 @@
             ++this->answered;
             this->dropLive(part, false, actions);
         } else {
-            part.ran = part.ran || found->mayHaveRun;
             part.failureReply = isReply ? attempt : part.failureReply;
             if (!end.sent) {
                 part.arrived = std::any_of(begin, last, [](const Attempt &each) {
@@ -272,7 +274,7 @@
         const bool mayRun = std::ranges::any_of(part.attempts, [](const Attempt &attempt) {
             return attempt.mayHaveRun;
         });
-        if (part.state == PartState::Missing && (!ran || part.ran)) {
+        if (part.state == PartState::Missing && (!ran || mayRun)) {
             code = part.last;
         }
         ran = ran || mayRun;
--- a/src/hickoryshore/entry/entry_vm.cpp
+++ b/src/hickoryshore/entry/entry_vm.cpp
@@ -55,6 +55,21 @@
             .longestShutdown = longest};
 }
 
+/// Why the listener refused a request with this status.
+ResultCode codeOfRefusal(int status)
+{
+    switch (status) {
+    case 431:
+        return ResultCode::HeaderTooLarge;
+    case 413:
+        return ResultCode::RequestTooLarge;
+    case 408:
+        return ResultCode::RequestIncomplete;
+    default:
+        return ResultCode::MalformedRequest;
+    }
+}
+
 std::uint64_t drawSeed()
 {
     std::random_device device;
@@ -158,10 +173,7 @@
                 },
             .onRefused =
                 [this](int status) {
-                    const ResultCode code = status == 431 ? ResultCode::HeaderTooLarge
-                        : status == 413                   ? ResultCode::RequestTooLarge
-                        : status == 408                   ? ResultCode::RequestIncomplete
-                                                          : ResultCode::MalformedRequest;
+                    const ResultCode code = codeOfRefusal(status);
                     this->metrics.countBadInput(code);
                     writeLog({.level = LogLevel::Warn, .slice = slice, .event = "badInput", .resultCode = code});
                 }};
--- a/src/hickoryshore/entry/request_service.cpp
+++ b/src/hickoryshore/entry/request_service.cpp
@@ -21,6 +21,8 @@
 /// An attempt that nobody waits for any more may end by itself until it is this old, so that its connection and its
 /// latency are of use.
 constexpr Duration strayLimit = 400ms;
+/// A caller that says it waits for longer is taken to wait so long.
+constexpr Duration longestWait = 1h;
 /// Of the connections that a replica accepts, the part that is divided between the VMs.
 constexpr double sharedConnections = 0.85;
 /// Room for the header fields that this VM adds.
@@ -34,7 +36,7 @@
         || std::from_chars(text->data(), text->data() + text->size(), milliseconds).ec != std::errc()) {
         return otherwise;
     }
-    return std::chrono::milliseconds(std::clamp<std::int64_t>(milliseconds, 0, std::int64_t{3600} * 1000));
+    return std::chrono::milliseconds(std::clamp<std::int64_t>(milliseconds, 0, longestWait / 1ms));
 }
 
 std::string milliseconds(Duration duration)
@@ -74,9 +76,7 @@
 {
     this->fleetShare = share;
     this->table.setRepeatBudget(this->repeats, share);
-    if (this->routeTable != nullptr) {
-        this->setRouteTable(this->routeTable);
-    }
+    this->limitConnections();
 }
 
 void RequestService::setRouteTable(std::shared_ptr<const RouteTable> changed)
@@ -84,6 +84,15 @@
     this->routeTable = std::move(changed);
     this->routes.emplace(this->routeTable);
     this->forgetOldRoutes();
+    this->limitConnections();
+}
+
+/// Divides the connections that each replica accepts between the VMs.
+void RequestService::limitConnections()
+{
+    if (this->routeTable == nullptr) {
+        return;
+    }
     std::unordered_map<ServiceId, int> limits;
     for (const ServiceLimits &service : this->routeTable->services) {
         const double share = sharedConnections * service.connectionsPerReplica * this->fleetShare;
@@ -119,9 +128,7 @@
         }
     }
     this->table.setReplicas(monotonicNow(), direct);
-    if (this->routeTable != nullptr) {
-        this->setRouteTable(this->routeTable);
-    }
+    this->limitConnections();
 }
 
 std::optional<ResultCode> RequestService::refusal(const Route *route, const HttpServerRequest &request) const
@@ -212,9 +219,8 @@
     std::string &head = forwarding->head;
     head.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
     for (const HttpHeader &header : request.headers) {
-        const std::vector<HttpHeader> one = {header};
-        const bool replaced = findHeader(one, names.remainingMilliseconds).has_value()
-            || findHeader(one, names.expectedReplica).has_value();
+        const bool replaced = isSameHeader(header.name, names.remainingMilliseconds)
+            || isSameHeader(header.name, names.expectedReplica);
         if (!replaced && !isHopByHop(header.name, connection)) {
             appendHeader(head, header.name, header.value);
         }
--- a/src/hickoryshore/entry/request_service_test.cpp
+++ b/src/hickoryshore/entry/request_service_test.cpp
@@ -86,8 +86,7 @@
             HttpListenerHooks{.onRequest = [this, number, handler](HttpCallId call, const HttpServerRequest &request) {
                 handler(this->servers[number], call, request);
             }});
-        this->registry.put(monotonicNow(),
-                           "replica-" + std::to_string(number),
+        this->registry.put("replica-" + std::to_string(number),
                            {.service = {serviceName}, .address = address, .dataCentre = {"north"}, .slots = 2});
         this->service.setReplicas(this->registry);
     }
@@ -260,8 +259,7 @@
                                   replicaSawLeave = true;
                                   this->loop.stop();
                               }});
-    this->registry.put(
-        monotonicNow(), "only", {.service = {"s"}, .address = address, .dataCentre = {"north"}, .slots = 2});
+    this->registry.put("only", {.service = {"s"}, .address = address, .dataCentre = {"north"}, .slots = 2});
     this->service.setReplicas(this->registry);
     this->loop.post([this, &waiting] {
         waiting = this->start(get, {});
--- a/src/hickoryshore/entry/state_service.cpp
+++ b/src/hickoryshore/entry/state_service.cpp
@@ -169,7 +169,7 @@
     }
     const ListedReplica replica = this->readReplica(change.key, change.value.value_or(""));
     if (replica.record.has_value()) {
-        this->registry.put(monotonicNow(), replica.name, *replica.record);
+        this->registry.put(replica.name, *replica.record);
     } else {
         this->registry.remove(monotonicNow(), replica.name, taken.storeWasAway);
     }
--- a/src/hickoryshore/entry/store_sharing.cpp
+++ b/src/hickoryshore/entry/store_sharing.cpp
@@ -17,12 +17,17 @@
 
 /// In a fleet of at most this size each VM calls the store itself: that is the shortest way for a change.
 constexpr std::size_t smallFleet = 32;
+/// One may fail, and the other VMs of its data centre still read nearby.
 constexpr std::size_t readersPerDataCentre = 2;
 /// Every so many failures the store itself is tried.
 constexpr int sourcesBeforeStore = 3;
 /// A watch at a peer waits only so long, so that a peer that has stopped is noticed.
 constexpr Duration longestPeerWait = 2s;
+/// Beyond its wait, a call to a peer takes one way there and back and a listing at most.
 constexpr Duration peerTimeout = 800ms;
+/// Two prefixes are followed at each peer, and a newer configuration may be asked for beside.
+constexpr int connectionsPerPeer = 6;
+constexpr Duration peerIdleLimit = 5s;
 
 constexpr int statusOk = 200;
 constexpr int statusGone = 410;
@@ -163,7 +168,8 @@
       store(std::move(store)),
       peerPort(peerPort),
       random(seed),
-      peers(std::make_shared<HttpConnections>(loop, HttpConnectionSettings{.connectionsPerServer = 6, .idleLimit = 5s}))
+      peers(std::make_shared<HttpConnections>(
+          loop, HttpConnectionSettings{.connectionsPerServer = connectionsPerPeer, .idleLimit = peerIdleLimit}))
 { }
 
 void StoreSharing::setMembers(std::shared_ptr<const MembershipView> view)
--- a/src/hickoryshore/http/http_message.cpp
+++ b/src/hickoryshore/http/http_message.cpp
@@ -7,21 +7,17 @@
 
 namespace hickoryshore {
 
-namespace {
-
-bool equalsWithoutCase(std::string_view left, std::string_view right)
+bool isSameHeader(std::string_view left, std::string_view right)
 {
     return std::ranges::equal(left, right, [](unsigned char a, unsigned char b) {
         return std::tolower(a) == std::tolower(b);
     });
 }
 
-} // namespace
-
 std::optional<std::string_view> findHeader(const std::vector<HttpHeader> &headers, std::string_view name)
 {
     for (const HttpHeader &header : headers) {
-        if (equalsWithoutCase(header.name, name)) {
+        if (isSameHeader(header.name, name)) {
             return header.value;
         }
     }
--- a/src/hickoryshore/http1/http_fields.cpp
+++ b/src/hickoryshore/http1/http_fields.cpp
@@ -28,11 +28,6 @@
                                          "content-length"sv,
                                          "expect"sv};
 
-bool equals(std::string_view left, std::string_view right)
-{
-    return boost::beast::iequals({left.data(), left.size()}, {right.data(), right.size()});
-}
-
 } // namespace
 
 std::vector<HttpHeader> headersOf(const boost::beast::http::fields &fields)
@@ -66,7 +61,7 @@
 bool isHopByHop(std::string_view name, std::string_view connectionOptions)
 {
     const auto isName = [name](std::string_view field) {
-        return equals(name, field);
+        return isSameHeader(name, field);
     };
     if (std::ranges::any_of(connectionFields, isName)) {
         return true;
--- a/src/hickoryshore/httpserver/http_listener.cpp
+++ b/src/hickoryshore/httpserver/http_listener.cpp
@@ -23,6 +23,8 @@
 /// As many connections as may wait to be accepted.
 constexpr int backlog = 1024;
 constexpr Duration timeoutCheck = 250ms;
+/// For so long a client may take to close its side after the last answer.
+constexpr Duration lingerTime = 1s;
 
 constexpr int statusBadRequest = 400;
 constexpr int statusRequestTimeout = 408;
@@ -69,7 +71,9 @@
     sockaddr_in local{};
     local.sin_family = AF_INET;
     local.sin_port = htons(static_cast<std::uint16_t>(place.port));
-    inet_pton(AF_INET, place.host.c_str(), &local.sin_addr);
+    if (inet_pton(AF_INET, place.host.c_str(), &local.sin_addr) != 1) {
+        throw std::system_error(EINVAL, std::generic_category(), "address " + std::string(address));
+    }
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (descriptor < 0) {
         throw std::system_error(errno, std::generic_category(), "socket");
@@ -325,7 +329,7 @@
             continue;
         }
         const Duration waited = now - connection.since;
-        if (connection.closing ? waited > 1s : !connection.inRequest && waited > this->settings.idleTimeout) {
+        if (connection.closing ? waited > lingerTime : !connection.inRequest && waited > this->settings.idleTimeout) {
             idle.push_back(id);
         } else if (!connection.closing && connection.inRequest && waited > this->settings.requestTimeout) {
             slow.push_back(id);
--- a/src/hickoryshore/registry/replica_registry.cpp
+++ b/src/hickoryshore/registry/replica_registry.cpp
@@ -15,20 +15,16 @@
 
 } // namespace
 
-void ReplicaRegistry::put(Instant now, std::string_view name, const ReplicaRecord &record)
+void ReplicaRegistry::put(std::string_view name, const ReplicaRecord &record)
 {
     const auto found = this->known.find(name);
     if (found != this->known.end() && isSameStart(found->second.record, record)) {
         found->second.record = record;
-        found->second.heardAt = now;
         found->second.lapsesAt.reset();
         return;
     }
-    this->known[std::string(name)] = {.endpoint = {++this->lastEndpoint},
-                                      .name = std::string(name),
-                                      .record = record,
-                                      .heardAt = now,
-                                      .lapsesAt = std::nullopt};
+    this->known[std::string(name)]
+        = {.endpoint = {++this->lastEndpoint}, .name = std::string(name), .record = record, .lapsesAt = std::nullopt};
 }
 
 void ReplicaRegistry::remove(Instant now, std::string_view name, bool storeWasAway)
@@ -52,7 +48,7 @@
     for (const ListedReplica &entry : listing) {
         if (entry.record.has_value()) {
             listed.insert(entry.name);
-            this->put(now, entry.name, *entry.record);
+            this->put(entry.name, *entry.record);
         }
     }
     std::vector<std::string> missing;
--- a/src/hickoryshore/shard/token_budget.cpp
+++ b/src/hickoryshore/shard/token_budget.cpp
@@ -38,9 +38,4 @@
     this->tokens = std::min(this->tokens, reserve);
 }
 
-void TokenBudget::giveBack()
-{
-    this->tokens = std::min(this->tokens + 1.0, this->reserve);
-}
-
 } // namespace hickoryshore
--- a/src/hickoryshore/upstream/upstream_pool.cpp
+++ b/src/hickoryshore/upstream/upstream_pool.cpp
@@ -28,11 +28,9 @@
     return ResultCode::UpstreamGarbage;
 }
 
-UpstreamReply replyOf(const HttpExchangeEnd &end, std::string_view attemptId)
+/// The reply to an exchange that brought none.
+UpstreamReply failedReply(const HttpExchangeEnd &end)
 {
-    if (!end.failure.has_value()) {
-        return parseUpstreamReply(attemptId, end.response.status, end.response.body);
-    }
     const ResultCode code = end.dropped ? ResultCode::Cancelled : codeOfFailure(*end.failure);
     return {.code = code, .snapshot = {}, .result = {}, .report = {}};
 }
@@ -127,11 +125,14 @@
     exchange.proven = proven;
     exchange.waits = true;
     exchange.tag = std::move(request.attemptId);
-    exchange.belongs = [attempt = exchange.tag](const UpstreamHttpResponse &response) {
-        return parseUpstreamReply(attempt, response.status, response.body).code != ResultCode::EchoMismatch;
+    // Parsed once, where it is asked whether the response belongs to this attempt.
+    const auto reply = std::make_shared<UpstreamReply>();
+    exchange.belongs = [attempt = exchange.tag, reply](const UpstreamHttpResponse &response) {
+        *reply = parseUpstreamReply(attempt, response.status, response.body);
+        return reply->code != ResultCode::EchoMismatch;
     };
-    exchange.onEnd = [attempt = exchange.tag, completion = std::move(completion)](const HttpExchangeEnd &end) {
-        completion(replyOf(end, attempt));
+    exchange.onEnd = [reply, completion = std::move(completion)](const HttpExchangeEnd &end) {
+        completion(end.failure.has_value() ? failedReply(end) : *reply);
     };
     this->start(replica, std::move(exchange));
 }
