Pass over replicas that refuse or fail a part of their requests

A refusal led to 2 to 64 ms of backoff, and the same replica was chosen again; 9,808 of 112,521 attempts were refused, the budget of extra attempts was used up, and queries failed after 1 ms with coverageTooLow (641 answers). Ruled out: lack of slots (the good replicas stand at two thirds of theirs with all of the load).

The share of failed and refused attempts of a replica now counts in its expected cost, and fades within seconds like its slowness, so that it is tried again.

--- a/src/hickoryshore/dispatch/endpoint_table.cpp
+++ b/src/hickoryshore/dispatch/endpoint_table.cpp
@@ -10,12 +10,18 @@
 
 using namespace std::chrono_literals;
 
-/// Weight of one latency in a replica's slowness.
+/// Weight of one attempt in a replica's slowness and in its share of failures.
 constexpr double slownessWeight = 0.3;
+constexpr double failureWeight = 0.3;
 /// A latency counts as at most so many times the typical one.
 constexpr double mostSlowness = 20.0;
-/// Without news the slowness goes half of the way back to one in this time, so that a replica is tried again.
-constexpr Duration slownessHalfLife = 3s;
+/// Without news the slowness goes half of the way back to one in this time, and the share of failures to zero, so that
+/// a replica is tried again.
+constexpr Duration assessmentHalfLife = 3s;
+/// Added to the cost, in microseconds, of a replica that fails all of its attempts, and in proportion for others: a
+/// failure takes an extra attempt out of a budget of one in five. One failure in five costs as much as 40 ms, the way
+/// to another region and back.
+constexpr double failureCost = 200000.0;
 /// A replica that has just started takes this much longer.
 constexpr double coldSlowness = 1.6;
 /// Added to the cost for each attempt in flight or in the queue, for each slot.
@@ -37,6 +43,12 @@
 /// Smallest reserve of which hedges leave one attempt for retries.
 constexpr double reserveWithKept = 3.0;
 
+/// What is left of an assessment after this time.
+double remainingWeight(Duration age)
+{
+    return std::exp2(-static_cast<double>(age.count()) / static_cast<double>(Duration(assessmentHalfLife).count()));
+}
+
 } // namespace
 
 EndpointTable::EndpointTable(std::uint64_t seed)
@@ -99,9 +111,22 @@
 
 double EndpointTable::slownessNow(const Endpoint &endpoint, Instant now)
 {
-    const auto halves = static_cast<double>((now - endpoint.slownessAt).count())
-        / static_cast<double>(Duration(slownessHalfLife).count());
-    return 1.0 + (endpoint.slowness - 1.0) * std::exp2(-halves);
+    return 1.0 + (endpoint.slowness - 1.0) * remainingWeight(now - endpoint.assessedAt);
+}
+
+double EndpointTable::failureShareNow(const Endpoint &endpoint, Instant now)
+{
+    return endpoint.failureShare * remainingWeight(now - endpoint.assessedAt);
+}
+
+/// Takes the end of one attempt into what is known of its replica.
+void EndpointTable::assess(Endpoint &endpoint, Instant now, std::optional<double> slowness, bool failed)
+{
+    const double slownessBefore = slownessNow(endpoint, now);
+    const double failuresBefore = failureShareNow(endpoint, now);
+    endpoint.slowness = slownessBefore + slownessWeight * (slowness.value_or(slownessBefore) - slownessBefore);
+    endpoint.failureShare = failuresBefore + failureWeight * ((failed ? 1.0 : 0.0) - failuresBefore);
+    endpoint.assessedAt = now;
 }
 
 /// The expected latency in microseconds. A replica that has been quiet for longer than a hedge is waited for has
@@ -117,6 +142,7 @@
         const Duration quiet = now - endpoint.quietSince;
         cost += quiet > latency.hedgeDelay(distance) ? static_cast<double>(quiet.count()) : 0.0;
     }
+    cost += failureCost * failureShareNow(endpoint, now);
     cost += endpoint.replica.sameDataCentre ? 0.0 : otherDataCentreCost;
     cost += endpoint.health.isEjected(now) ? ejectedCost : 0.0;
     cost += endpoint.health.isBackingOff(now) ? backoffCost : 0.0;
@@ -189,22 +215,24 @@
         const auto typical
             = static_cast<double>(std::max(latency.typical(endpoint.replica.distance), Duration(1)).count());
         const double ratio = std::min(static_cast<double>(end.latency.count()) / typical, mostSlowness);
-        const double before = slownessNow(endpoint, now);
-        endpoint.slowness = before + slownessWeight * (ratio - before);
-        endpoint.slownessAt = now;
+        assess(endpoint, now, ratio, false);
         endpoint.health.countSuccess(now);
         if (wasEjected) {
             change = {.endpoint = id, .ejected = false};
         }
     } else if (end.code == ResultCode::UpstreamShed) {
+        assess(endpoint, now, std::nullopt, true);
         std::uniform_real_distribution<double> share(0.0, 1.0);
         endpoint.health.countShed(now, share(this->random));
     } else if (end.code == ResultCode::UpstreamDraining) {
         // What goes there only adds to the load of another service, whose budget of extra attempts it uses up.
         endpoint.misdirectedUntil = now + refusedElsewhere;
         change = {.endpoint = id, .ejected = true};
-    } else if (endpoint.health.countFailure(now)) {
-        change = {.endpoint = id, .ejected = true, .failures = endpoint.health.consecutiveFailures};
+    } else {
+        assess(endpoint, now, std::nullopt, true);
+        if (endpoint.health.countFailure(now)) {
+            change = {.endpoint = id, .ejected = true, .failures = endpoint.health.consecutiveFailures};
+        }
     }
     this->forgetRemoved(id);
     return change;
@@ -220,9 +248,7 @@
     Endpoint &endpoint = found->second;
     --endpoint.inFlight;
     if (late) {
-        const double before = slownessNow(endpoint, now);
-        endpoint.slowness = before + slownessWeight * (mostSlowness - before);
-        endpoint.slownessAt = now;
+        assess(endpoint, now, mostSlowness, true);
     }
     this->forgetRemoved(id);
 }
