--- a/include/hickoryshore/entry/request_service.h
+++ b/include/hickoryshore/entry/request_service.h
@@ -6,6 +6,7 @@
 #include "hickoryshore/entry/entry_dialect.h"
 #include "hickoryshore/entry/entry_settings.h"
 #include "hickoryshore/httpserver/http_listener.h"
+#include "hickoryshore/metrics/labelled_latencies.h"
 #include "hickoryshore/metrics/metrics.h"
 #include "hickoryshore/routes/route_table.h"
 #include "hickoryshore/routes/service_split.h"
@@ -56,6 +57,9 @@
     std::size_t inFlight() const;
     HttpConnectionCounts connections() const;
 
+    /// The latencies of routes and services in Prometheus' text format.
+    std::string latencyText() const;
+
     /// How many replicas each region holds.
     ReplicasByRegion replicasByRegion() const;
 
@@ -123,6 +127,7 @@
     void onExchangeEnd(AttemptId attempt, HttpExchangeEnd end);
     AttemptEnd classify(const ActiveAttempt &attempt, const HttpExchangeEnd &end, Instant now) const;
     void giveUpStray(AttemptId attempt);
+    void observeService(EndpointId endpoint, Duration latency);
 
     HttpAnswer answerOf(const ActiveRequest &active, const FinishRun &outcome) const;
     HttpAnswer mergedAnswer(const ActiveRequest &active, const FinishRun &outcome) const;
@@ -135,6 +140,8 @@
     const EntryDialect &dialect;
     Metrics &metrics;
     RequestHooks hooks;
+    LabelledLatencies routeLatencies{"route_seconds", "route", "From a request's arrival to its answer"};
+    LabelledLatencies serviceLatencies{"service_seconds", "service", "From the sending of an attempt to its reply"};
     EndpointTable table;
     ServiceSplit split;
     std::optional<RouteIndex> routes;
--- a/src/hickoryshore/api/caller_messages.cpp
+++ b/src/hickoryshore/api/caller_messages.cpp
@@ -132,6 +132,12 @@
     if (parsed.caller.value.empty()) {
         malformed("caller is missing");
     }
+    if (json.contains("requestId") && parsed.requestId.value.empty()) {
+        malformed("requestId is empty");
+    }
+    if (parsed.requestId.value.find('\0') != std::string::npos) {
+        malformed("requestId has a NUL character");
+    }
     if (!parsed.idempotent && (parsed.requestId.value.empty() || parsed.issuedAt.milliseconds == 0)) {
         throw RequestError(ResultCode::MissingRequestId, "a non-idempotent request needs requestId and issuedAtMs");
     }
--- a/src/hickoryshore/api/caller_messages_test.cpp
+++ b/src/hickoryshore/api/caller_messages_test.cpp
@@ -45,6 +45,8 @@
         BOOST_TEST((errorOf(body) == ResultCode::InvalidDeadline), deadline);
     }
     BOOST_TEST((errorOf(R"({"caller":"a","idempotent":false,"requestId":"r"})") == ResultCode::MissingRequestId));
+    BOOST_TEST((errorOf(R"({"caller":"a","requestId":""})") == ResultCode::MalformedRequest));
+    BOOST_TEST((errorOf(R"({"caller":"a","requestId":"r\u0000"})") == ResultCode::MalformedRequest));
     BOOST_TEST((errorOf(R"({"caller":")" + std::string(200, 'x') + "\"}") == ResultCode::RequestTooLarge));
 }
 
--- a/src/hickoryshore/dispatch/endpoint_table_test.cpp
+++ b/src/hickoryshore/dispatch/endpoint_table_test.cpp
@@ -92,8 +92,8 @@
 
 BOOST_AUTO_TEST_CASE(a_replica_that_refuses_two_of_five_requests_is_passed_over)
 {
-    // One replica of each shard refuses a part of its requests: what is sent there uses up the budget of extra attempts,
-    // which a query over many shards needs for replicas that pause.
+    // One replica of each shard refuses a part of its requests: what is sent there uses up the budget of extra
+    // attempts, which a query over many shards needs for replicas that pause.
     int refused = 0;
     Instant now = start;
     for (int request = 0; request < 100; ++request) {
@@ -101,11 +101,11 @@
         const EndpointId chosen = this->choose(now);
         const bool isRefused = chosen == near && request % 5 < 2;
         this->table.countSent(now, chosen);
-        this->table.countEnd(now + 8ms,
-                             chosen,
-                             this->latency,
-                             {.code = isRefused ? ResultCode::UpstreamShed : ResultCode::Ok,
-                              .latency = chosen == near ? 8ms : 24ms});
+        this->table.countEnd(
+            now + 8ms,
+            chosen,
+            this->latency,
+            {.code = isRefused ? ResultCode::UpstreamShed : ResultCode::Ok, .latency = chosen == near ? 8ms : 24ms});
         refused += isRefused ? 1 : 0;
     }
     BOOST_TEST(refused <= 8);
--- a/src/hickoryshore/entry/entry_vm.cpp
+++ b/src/hickoryshore/entry/entry_vm.cpp
@@ -157,7 +157,10 @@
     this->requests.setShare(firstShare);
     this->membership = std::make_unique<MembershipService>(
         loop,
-        MembershipServiceSettings{.self = std::move(self), .seeds = seeds, .protocol = {.probePeriod = probePeriod}},
+        MembershipServiceSettings{.self = std::move(self),
+                                  .bindAddress = parseHostPort(settings.peerListen).host,
+                                  .seeds = seeds,
+                                  .protocol = {.probePeriod = probePeriod}},
         this->membershipHooks());
     loop.after(timeToLearnFleet, [this] {
         this->fleetLearnt = true;
@@ -313,7 +316,7 @@
         Gauge{"configuration_revision", "Of the routes in force", static_cast<double>(this->state.revision().value)},
         Gauge{"store_reached", "Whether the store answers", this->state.isCutOff() ? 0.0 : 1.0},
         Gauge{"log_lines_dropped", "Since the start", static_cast<double>(droppedLogLines())}};
-    return this->metrics.prometheusText(gauges);
+    return this->metrics.prometheusText(gauges) + this->requests.latencyText();
 }
 
 void EntryVm::leave()
--- a/src/hickoryshore/entry/request_service.cpp
+++ b/src/hickoryshore/entry/request_service.cpp
@@ -391,6 +391,7 @@
     }
     if (result.code == ResultCode::Ok) {
         this->metrics.observe(Latency::Upstream, result.latency);
+        this->observeService(ended.endpoint, result.latency);
         ended.latency->add(this->table.distanceOf(ended.endpoint), result.latency);
     }
     const auto waiting = this->active.find(ended.call);
@@ -410,6 +411,14 @@
     this->perform(ended.call, actions);
 }
 
+void RequestService::observeService(EndpointId endpoint, Duration latency)
+{
+    const auto replica = this->replicas.find(endpoint);
+    if (replica != this->replicas.end()) {
+        this->serviceLatencies.observe(replica->second.service.value, latency);
+    }
+}
+
 void RequestService::armTimer(HttpCallId call, ActiveRequest &request)
 {
     const auto next = request.run->nextTimer();
@@ -436,7 +445,9 @@
     this->active.erase(found);
     const HttpAnswer reply = this->answerOf(finished, outcome);
     this->metrics.countAnswer(outcome.code);
-    this->metrics.observe(Latency::Query, monotonicNow() - finished.arrival);
+    const Duration age = monotonicNow() - finished.arrival;
+    this->metrics.observe(Latency::Query, age);
+    this->routeLatencies.observe(finished.route->name.value, age);
     this->logFinish(finished, outcome, reply.status);
     this->hooks.answer(call, reply);
 }
@@ -471,6 +482,11 @@
     return this->upstream->counts();
 }
 
+std::string RequestService::latencyText() const
+{
+    return this->routeLatencies.prometheusText() + this->serviceLatencies.prometheusText();
+}
+
 ReplicasByRegion RequestService::replicasByRegion() const
 {
     return this->regionReplicas;
--- a/src/hickoryshore/systemtest/relay.cpp
+++ b/src/hickoryshore/systemtest/relay.cpp
@@ -124,6 +124,27 @@
 }
 
 int Relay::silenceConnections(const std::set<Party> &one, const std::set<Party> &other)
+{
+    return this->forEachBetween(one, other, [](RelayConnection &connection) {
+        connection.silent = true;
+    });
+}
+
+int Relay::resetConnections(const std::set<Party> &one, const std::set<Party> &other)
+{
+    return this->forEachBetween(one, other, [](RelayConnection &connection) {
+        for (const int descriptor : connection.descriptors) {
+            const linger atOnce{.l_onoff = 1, .l_linger = 0};
+            setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &atOnce, sizeof(atOnce));
+        }
+        closeEnds(connection);
+    });
+}
+
+/// Changes the connections between the two groups that still pass something on; returns how many.
+int Relay::forEachBetween(const std::set<Party> &one,
+                          const std::set<Party> &other,
+                          const std::function<void(RelayConnection &)> &change)
 {
     const std::lock_guard lock(this->mutex);
     int count = 0;
@@ -132,7 +153,7 @@
         const bool between
             = (one.contains(opener) && other.contains(target)) || (other.contains(opener) && one.contains(target));
         if (between && !connection.silent) {
-            connection.silent = true;
+            change(connection);
             ++count;
         }
     }
@@ -199,7 +220,7 @@
 
 void Relay::serve(RelayConnection &connection, const std::array<pollfd, 2> &polled)
 {
-    if (connection.silent) {
+    if (connection.silent || connection.descriptors[0] < 0) {
         return;
     }
     if (connection.descriptors[1] < 0) {
--- a/src/hickoryshore/systemtest/relay.h
+++ b/src/hickoryshore/systemtest/relay.h
@@ -7,6 +7,7 @@
 #include "relay_connection.h"
 
 #include <array>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -66,6 +67,9 @@
     /// Makes the connections that are open now between the two groups silent for good; new ones work. Returns how many.
     int silenceConnections(const std::set<Party> &one, const std::set<Party> &other);
 
+    /// Resets the connections that are open now between the two groups. Returns how many.
+    int resetConnections(const std::set<Party> &one, const std::set<Party> &other);
+
 private:
     struct TcpListener
     {
@@ -90,6 +94,9 @@
     void serve(RelayConnection &connection, const std::array<pollfd, 2> &polled);
     void relayDatagrams(const UdpSocket &to);
     bool isCut(const Party &from, const Party &to) const;
+    int forEachBetween(const std::set<Party> &one,
+                       const std::set<Party> &other,
+                       const std::function<void(RelayConnection &)> &change);
 
     std::mutex mutex; ///< Held except while the thread waits.
     bool stopping = false;
--- a/src/hickoryshore/systemtest/test_process.cpp
+++ b/src/hickoryshore/systemtest/test_process.cpp
@@ -11,10 +11,16 @@
 
 TestProcess::TestProcess(const std::string &program,
                          const std::vector<std::string> &arguments,
-                         const std::string &logFile)
-    : child(std::make_unique<bp::child>(
-        program, bp::args(arguments), bp::std_in<bp::null, bp::std_out> bp::null, bp::std_err > logFile))
-{ }
+                         const std::string &logFile,
+                         const std::map<std::string, std::string> &environment)
+{
+    bp::environment all = boost::this_process::environment();
+    for (const auto &[name, value] : environment) {
+        all[name] = value;
+    }
+    this->child = std::make_unique<bp::child>(
+        program, bp::args(arguments), all, bp::std_in<bp::null, (bp::std_out & bp::std_err)> logFile);
+}
 
 TestProcess::~TestProcess()
 {
--- a/src/hickoryshore/systemtest/test_process.h
+++ b/src/hickoryshore/systemtest/test_process.h
@@ -3,6 +3,7 @@
 
 #include "hickoryshore/base/time.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -17,8 +18,11 @@
 class TestProcess
 {
 public:
-    /// Starts the program. Its standard error goes to `logFile`.
-    TestProcess(const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile);
+    /// Starts the program. Its output goes to `logFile`. `environment` is added to that of this process.
+    TestProcess(const std::string &program,
+                const std::vector<std::string> &arguments,
+                const std::string &logFile,
+                const std::map<std::string, std::string> &environment = {});
     ~TestProcess();
     TestProcess(TestProcess &&) noexcept;
     TestProcess &operator=(TestProcess &&) noexcept;
