Make up for watches that the store has lost without a sign

One VM, started while the store took requests and answered none, had its watch of the registrations swallowed. A watch waits 20 s, and its connection lived, so that nothing showed the loss; a service whose replicas had changed meanwhile had none there. Ruled out: the registry and the table of replicas (all other VMs had the same listing and served). Configurations were not concerned: members tell their revision.

A VM that reads the store now asks another one every 2 s what has changed after its own state, and takes the state from there if its own source has not brought it a second later. No call to the store is added.

--- a/include/hickoryshore/entry/state_service.h
+++ b/include/hickoryshore/entry/state_service.h
@@ -93,7 +93,19 @@
         std::function<void(const HttpAnswer &)> answer;
     };
 
+    /// The newest state that another VM is known to have.
+    struct Heard
+    {
+        std::uint64_t revision = 0; ///< Of the configuration its version, of the registrations the store's revision.
+        VmId from;
+        Instant since; ///< When a newer state than this VM's was first heard of.
+    };
+
+    std::uint64_t known(Followed which) const;
+    void hear(Followed which, std::uint64_t revision, const VmId &from);
+    void checkFreshness();
     void askPeerIfLate();
+    void askPeerIfLate(Followed which, Duration patience);
     void takePeerState(Followed which, PageResult result, const std::string &peer);
     std::optional<HttpAnswer> changesFor(Followed which, std::uint64_t after, bool evenNone) const;
     void answerWaiting();
@@ -111,9 +123,7 @@
     std::size_t replicaChanges = 0; ///< That onReplicas has not been told of.
     std::shared_ptr<const MembershipView> members;
     std::vector<WaitingPeer> waiting;
-    Revision heardRevision;
-    VmId heardFrom;
-    Instant heardAt;
+    std::array<Heard, FollowedCount> heard;
 };
 
 } // namespace hickoryshore
--- a/include/hickoryshore/entry/store_sharing.h
+++ b/include/hickoryshore/entry/store_sharing.h
@@ -41,6 +41,12 @@
     /// Lists a prefix at one peer, whichever source is used otherwise.
     void listAt(const Member &peer, std::string_view prefix, std::function<void(PageResult)> completion);
 
+    /// Asks a VM drawn at random what has changed there after a revision, without waiting for changes. Nothing is asked
+    /// where this VM follows another one rather than the store, or where there is none.
+    void askChanges(std::string_view prefix,
+                    std::uint64_t after,
+                    std::function<void(const VmId &, ChangesResult)> completion);
+
 private:
     std::optional<Member> source();
     void list(std::string_view prefix, std::string_view after, std::function<void(PageResult)> completion);
--- a/src/hickoryshore/daemon/main.cpp
+++ b/src/hickoryshore/daemon/main.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-/// Exit statuses; docs/OPERATING.md lists them.
+/// Exit statuses; docs/OPERATIONS.md lists them.
 constexpr int exitOk = 0;
 constexpr int exitFailed = 1;
 constexpr int exitBadSettings = 2;
--- a/src/hickoryshore/entry/state_service.cpp
+++ b/src/hickoryshore/entry/state_service.cpp
@@ -21,6 +21,11 @@
 constexpr Duration periodicCheck = 250ms;
 /// After this time without a configuration that peers have, one of them is asked for it.
 constexpr Duration patienceWithSource = 400ms;
+/// The same for registrations: a watch is renewed each 300 ms at the most often, and brings what came meanwhile.
+constexpr Duration patienceWithWatch = 1s;
+/// How often another VM is asked whether it knows of newer registrations: together with the patience within the four
+/// seconds after which a VM in reach of the store has to follow it.
+constexpr Duration freshnessCheck = 2s;
 /// Of the changes that come at once, so many are logged one by one.
 constexpr std::size_t loggedChanges = 8;
 /// When a caller may come back that was sent here while other VMs serve: it connects to one of those.
@@ -53,6 +58,9 @@
             this->perform(which);
         }
     });
+    this->loop.every(freshnessCheck, [this] {
+        this->checkFreshness();
+    });
     this->loop.every(periodicCheck, [this] {
         this->askPeerIfLate();
         this->expireReplicas();
@@ -264,34 +272,66 @@
     this->store.setMembers(this->members);
 }
 
-void StateService::onRevisionHeard(Revision revision, const VmId &from)
+std::uint64_t StateService::known(Followed which) const
+{
+    return which == Configuration ? this->routesRevision.value : this->prefixes[which].follower.asOf();
+}
+
+void StateService::hear(Followed which, std::uint64_t revision, const VmId &from)
 {
-    if (this->heardRevision <= this->routesRevision) {
-        this->heardAt = monotonicNow();
+    Heard &newest = this->heard[which];
+    if (newest.revision <= this->known(which)) {
+        newest.since = monotonicNow();
     }
-    if (revision >= this->heardRevision) {
-        this->heardRevision = revision;
-        this->heardFrom = from;
+    if (revision >= newest.revision) {
+        newest.revision = revision;
+        newest.from = from;
     }
 }
 
-/// Asks the peer that told of a newer configuration, where the usual source does not bring it.
+void StateService::onRevisionHeard(Revision revision, const VmId &from)
+{
+    this->hear(Configuration, revision.value, from);
+}
+
+/// A watch that the store has lost without a sign waits as long as one without changes: another VM tells.
+void StateService::checkFreshness()
+{
+    const std::uint64_t after = this->known(Replicas);
+    this->store.askChanges(this->prefixes[Replicas].name, after, [this](const VmId &peer, const ChangesResult &result) {
+        const auto *changes = std::get_if<StoreChanges>(&result);
+        if (changes != nullptr && !changes->changes.empty()) {
+            this->hear(Replicas, changes->changes.back().revision, peer);
+        }
+    });
+}
+
 void StateService::askPeerIfLate()
+{
+    this->askPeerIfLate(Configuration, patienceWithSource);
+    this->askPeerIfLate(Replicas, patienceWithWatch);
+}
+
+/// Asks the peer that has a newer state, where the usual source does not bring it.
+void StateService::askPeerIfLate(Followed late, Duration patience)
 {
     const Instant now = monotonicNow();
-    if (this->members == nullptr || this->heardRevision <= this->routesRevision
-        || now - this->heardAt < patienceWithSource) {
+    Heard &newest = this->heard[late];
+    if (this->members == nullptr || newest.revision <= this->known(late) || now - newest.since < patience) {
         return;
     }
-    this->heardAt = now;
-    const Member *peer = findMember(*this->members, this->heardFrom);
+    newest.since = now;
+    const Member *peer = findMember(*this->members, newest.from);
     if (peer == nullptr || !isUsable(*peer)) {
         return;
     }
     for (const Followed which : {Configuration, Replicas}) {
-        this->store.listAt(*peer, this->prefixes[which].name, [this, which, name = peer->vm.value](PageResult result) {
-            this->takePeerState(which, std::move(result), name);
-        });
+        if (which == Replicas || late == Configuration) {
+            this->store.listAt(
+                *peer, this->prefixes[which].name, [this, which, name = peer->vm.value](PageResult result) {
+                    this->takePeerState(which, std::move(result), name);
+                });
+        }
     }
 }
 
--- a/src/hickoryshore/entry/state_service_test.cpp
+++ b/src/hickoryshore/entry/state_service_test.cpp
@@ -1,6 +1,8 @@
 // A StateService on a stand-in of the store.
 #include "hickoryshore/entry/state_service.h"
 
+#include "hickoryshore/httpserver/http_listener.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <stdexcept>
@@ -127,4 +129,46 @@
     BOOST_TEST(this->replicasKnown == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(a_watch_that_the_store_has_lost_without_a_sign_is_made_up_for_by_another_vm)
+{
+    // The store lists, and never answers a watch; a peer has heard of one replica more.
+    StoreAccess store = this->access();
+    store.watch = [](std::string_view, std::uint64_t, Duration, const std::function<void(ChangesResult)> &) {};
+    const StoreChange change{.key = "replicas/a", .value = "s", .revision = listedAsOf + 1};
+    HttpListener peer(
+        this->loop, "127.0.0.1:18777", {}, {.onRequest = [&](HttpCallId call, const auto &request) {
+            const auto asked = parsePeerTarget(request.target);
+            const StorePage page{.items = {{change.key, *change.value, change.revision}}, .asOf = change.revision};
+            peer.answer(call,
+                        {.body = asked->changesAfter.has_value()
+                             ? encodeChanges({.changes = {change}, .asOf = change.revision})
+                             : encodePage(page)});
+        }});
+    StateService state(this->loop,
+                       this->dialect,
+                       std::move(store),
+                       18777,
+                       1,
+                       {.onRouteTable = [](const std::shared_ptr<const RouteTable> &) {},
+                        .onReplicas =
+                            [this](const ReplicaRegistry &registry) {
+                                this->replicasKnown = registry.replicas().size();
+                                if (this->replicasKnown == 1) {
+                                    this->loop.stop();
+                                }
+                            }});
+    MembershipView view{.self = {"vm-0"}, .members = {}};
+    for (const char *vm : {"vm-0", "vm-1"}) {
+        view.members.push_back(
+            {.vm = {vm}, .dataCentre = {"north"}, .address = "127.0.0.1", .processId = 1, .configRevision = {7}});
+    }
+    state.setMembers(std::make_shared<MembershipView>(view));
+    state.start();
+    this->loop.after(longestTest, [this] {
+        this->loop.stop();
+    });
+    this->loop.run();
+    BOOST_TEST(this->replicasKnown == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/hickoryshore/entry/store_sharing.cpp
+++ b/src/hickoryshore/entry/store_sharing.cpp
@@ -211,6 +211,33 @@
     call<PageResult>(*this->peers, server, {.prefix = std::string(prefix)}, decodePage, std::move(completion));
 }
 
+void StoreSharing::askChanges(std::string_view prefix,
+                              std::uint64_t after,
+                              std::function<void(const VmId &, ChangesResult)> completion)
+{
+    if (this->members == nullptr || this->source().has_value()) {
+        return;
+    }
+    std::vector<const Member *> able;
+    for (const Member &member : this->members->members) {
+        if (member.vm != this->members->self && isUsable(member) && member.configRevision.value > 0) {
+            able.push_back(&member);
+        }
+    }
+    if (able.empty()) {
+        return;
+    }
+    const Member &peer = *able[this->random() % able.size()];
+    call<ChangesResult>(
+        *this->peers,
+        peer.address + ":" + std::to_string(this->peerPort),
+        {.prefix = std::string(prefix), .changesAfter = after},
+        decodeChanges,
+        std::function<void(ChangesResult)>([vm = peer.vm, completion = std::move(completion)](ChangesResult result) {
+            completion(vm, std::move(result));
+        }));
+}
+
 void StoreSharing::list(std::string_view prefix, std::string_view after, std::function<void(PageResult)> completion)
 {
     auto counted = [this, completion = std::move(completion)](PageResult result) {
