--- a/include/hickoryshore/dispatch/endpoint_table.h
+++ b/include/hickoryshore/dispatch/endpoint_table.h
@@ -101,12 +101,18 @@
     Distance distanceOf(EndpointId endpoint) const;
 
 private:
+    /// What a replica's recent attempts say of it.
+    struct Assessment
+    {
+        double slowness = 1.0; ///< Its latencies as a multiple of the route's typical ones.
+        double failureShare = 0.0; ///< Of the attempts, those that failed or were refused.
+    };
+
     struct Endpoint
     {
         DirectReplica replica;
-        double slowness = 1.0; ///< Its latencies as a multiple of the route's typical ones.
-        double failureShare = 0.0; ///< Of its recent attempts, those that failed or were refused.
-        Instant assessedAt; ///< When slowness and failureShare were last changed; both fade from there.
+        Assessment assessed;
+        Instant assessedAt; ///< The assessment fades from there.
         int inFlight = 0;
         Instant quietSince; ///< Since then attempts are in flight, and none has ended.
         Instant warmUntil; ///< End of the time in which it is slow after its start.
@@ -125,8 +131,7 @@
 
     Service &serviceOf(const ServiceId &service);
     double costOf(const Endpoint &endpoint, Instant now, const RouteLatency &latency);
-    static double slownessNow(const Endpoint &endpoint, Instant now);
-    static double failureShareNow(const Endpoint &endpoint, Instant now);
+    static Assessment assessmentNow(const Endpoint &endpoint, Instant now);
     static void assess(Endpoint &endpoint, Instant now, std::optional<double> slowness, bool failed);
     double repeatReserve() const;
     double repeatEarning() const;
--- a/include/hickoryshore/shutdown/able_members.h
+++ b/include/hickoryshore/shutdown/able_members.h
@@ -5,6 +5,7 @@
 #include "hickoryshore/membership/member.h"
 
 #include <cstdint>
+#include <memory>
 #include <unordered_map>
 
 namespace hickoryshore {
@@ -15,13 +16,13 @@
 {
 public:
     /// Takes the members that are known now.
-    void setView(Instant now, const MembershipView &view);
+    void setView(Instant now, std::shared_ptr<const MembershipView> view);
 
     /// The usable members that callers may be sent to; this VM itself only where it is complete.
     MembershipView at(Instant now, bool selfIsComplete) const;
 
 private:
-    MembershipView view;
+    std::shared_ptr<const MembershipView> view = std::make_shared<MembershipView>();
     std::unordered_map<std::uint64_t, Instant> knownSince; ///< By process.
 };
 
--- a/src/hickoryshore/dispatch/endpoint_table.cpp
+++ b/src/hickoryshore/dispatch/endpoint_table.cpp
@@ -43,12 +43,6 @@
 /// Smallest reserve of which hedges leave one attempt for retries.
 constexpr double reserveWithKept = 3.0;
 
-/// What is left of an assessment after this time.
-double remainingWeight(Duration age)
-{
-    return std::exp2(-static_cast<double>(age.count()) / static_cast<double>(Duration(assessmentHalfLife).count()));
-}
-
 } // namespace
 
 EndpointTable::EndpointTable(std::uint64_t seed)
@@ -109,23 +103,22 @@
     }
 }
 
-double EndpointTable::slownessNow(const Endpoint &endpoint, Instant now)
-{
-    return 1.0 + (endpoint.slowness - 1.0) * remainingWeight(now - endpoint.assessedAt);
-}
-
-double EndpointTable::failureShareNow(const Endpoint &endpoint, Instant now)
+EndpointTable::Assessment EndpointTable::assessmentNow(const Endpoint &endpoint, Instant now)
 {
-    return endpoint.failureShare * remainingWeight(now - endpoint.assessedAt);
+    const auto halfLives = static_cast<double>((now - endpoint.assessedAt).count())
+        / static_cast<double>(Duration(assessmentHalfLife).count());
+    const double left = std::exp2(-halfLives);
+    return {.slowness = 1.0 + (endpoint.assessed.slowness - 1.0) * left,
+            .failureShare = endpoint.assessed.failureShare * left};
 }
 
 /// Takes the end of one attempt into what is known of its replica.
 void EndpointTable::assess(Endpoint &endpoint, Instant now, std::optional<double> slowness, bool failed)
 {
-    const double slownessBefore = slownessNow(endpoint, now);
-    const double failuresBefore = failureShareNow(endpoint, now);
-    endpoint.slowness = slownessBefore + slownessWeight * (slowness.value_or(slownessBefore) - slownessBefore);
-    endpoint.failureShare = failuresBefore + failureWeight * ((failed ? 1.0 : 0.0) - failuresBefore);
+    const Assessment before = assessmentNow(endpoint, now);
+    endpoint.assessed
+        = {.slowness = before.slowness + slownessWeight * (slowness.value_or(before.slowness) - before.slowness),
+           .failureShare = before.failureShare + failureWeight * ((failed ? 1.0 : 0.0) - before.failureShare)};
     endpoint.assessedAt = now;
 }
 
@@ -135,14 +128,15 @@
 {
     const Distance distance = endpoint.replica.distance;
     const auto typical = static_cast<double>(latency.typical(distance).count());
-    double cost = typical * slownessNow(endpoint, now) * (endpoint.warmUntil > now ? coldSlowness : 1.0);
+    const Assessment assessment = assessmentNow(endpoint, now);
+    double cost = typical * assessment.slowness * (endpoint.warmUntil > now ? coldSlowness : 1.0);
     const int queued = now - endpoint.waitingAt < reportLifetime ? endpoint.waiting : 0;
     cost *= 1.0 + loadCost * (endpoint.inFlight + queued) / std::max(1, endpoint.replica.slots);
     if (endpoint.inFlight > 0) {
         const Duration quiet = now - endpoint.quietSince;
         cost += quiet > latency.hedgeDelay(distance) ? static_cast<double>(quiet.count()) : 0.0;
     }
-    cost += failureCost * failureShareNow(endpoint, now);
+    cost += failureCost * assessment.failureShare;
     cost += endpoint.replica.sameDataCentre ? 0.0 : otherDataCentreCost;
     cost += endpoint.health.isEjected(now) ? ejectedCost : 0.0;
     cost += endpoint.health.isBackingOff(now) ? backoffCost : 0.0;
--- a/src/hickoryshore/entry/entry_vm.cpp
+++ b/src/hickoryshore/entry/entry_vm.cpp
@@ -86,34 +86,10 @@
       seed(drawSeed()),
       random(this->seed),
       callers(loop, settings.callerListen, {}, this->callerHooks()),
-      entryPoints(loop,
-                  settings.entryPointListen,
-                  {},
-                  {.onRequest =
-                       [this](HttpCallId call, const HttpServerRequest &request) {
-                           this->answerEntryPoint(call, request);
-                       }}),
-      readiness(loop,
-                settings.readinessListen,
-                {},
-                {.onRequest =
-                     [this](HttpCallId call, const HttpServerRequest &request) {
-                         this->answerReadiness(call, request);
-                     }}),
-      peers(loop,
-            settings.peerListen,
-            {},
-            {.onRequest =
-                 [this](HttpCallId call, const HttpServerRequest &request) {
-                     this->answerPeer(call, request);
-                 }}),
-      metricsListener(loop,
-                      settings.metricsListen,
-                      {},
-                      {.onRequest =
-                           [this](HttpCallId call, const HttpServerRequest &request) {
-                               this->answerMetrics(call, request);
-                           }}),
+      entryPoints(loop, settings.entryPointListen, {}, this->hooksFor(&EntryVm::answerEntryPoint)),
+      readiness(loop, settings.readinessListen, {}, this->hooksFor(&EntryVm::answerReadiness)),
+      peers(loop, settings.peerListen, {}, this->hooksFor(&EntryVm::answerPeer)),
+      metricsListener(loop, settings.metricsListen, {}, this->hooksFor(&EntryVm::answerMetrics)),
       requests(loop,
                this->settings,
                this->dialect,
@@ -190,6 +166,13 @@
                 }};
 }
 
+HttpListenerHooks EntryVm::hooksFor(void (EntryVm::*answer)(HttpCallId call, const HttpServerRequest &request))
+{
+    return {.onRequest = [this, answer](HttpCallId call, const HttpServerRequest &request) {
+        (this->*answer)(call, request);
+    }};
+}
+
 MembershipHooks EntryVm::membershipHooks()
 {
     return {.onView =
@@ -223,7 +206,7 @@
 void EntryVm::onView(const std::shared_ptr<const MembershipView> &view)
 {
     this->members = view;
-    this->ableMembers.setView(monotonicNow(), *view);
+    this->ableMembers.setView(monotonicNow(), view);
     this->state.setMembers(view);
     // The largest fleet that was seen: members that seem gone may only be cut off from here, and go on using their
     // share.
