--- a/include/hickoryshore/dispatch/endpoint_table.h
+++ b/include/hickoryshore/dispatch/endpoint_table.h
@@ -52,14 +52,21 @@
     bool sent = true; ///< Whether the replica can have received it.
     Duration latency{0}; ///< From sending to the end.
     std::optional<int> waiting; ///< Requests in the replica's queue, where it told.
+    bool leaving = false; ///< The replica said that it leaves.
+    std::optional<Duration> refusesFor; ///< It refused, and asked for no further request for so long.
+    bool withdrawn = false; ///< Not sent, by this VM's own decision: it says nothing of the replica.
 };
 
+/// What has become of a replica in this VM's view.
+enum class EndpointState { InUse, Ejected, Misdirected, Refusing, Leaving };
+
 /// A belief about a replica that has changed, for the log.
 struct EndpointChange
 {
     EndpointId endpoint;
-    bool ejected = false; ///< Or in use again.
+    EndpointState state = EndpointState::InUse;
     int failures = 0; ///< In a row.
+    Duration lasts{0}; ///< For how long a replica that refuses gets no request.
 };
 
 /// The replicas of all services. Not thread-safe: one thread drives it.
@@ -80,6 +87,14 @@
                                      const RouteLatency &latency,
                                      std::span<const EndpointId> excluded);
 
+    /// Why a request may no longer be sent to a replica that was chosen earlier, where it waited for a connection
+    /// meanwhile; nothing where it may.
+    std::optional<ResultCode> refusalOf(Instant now, EndpointId endpoint) const;
+
+    /// Until one of the service's replicas takes requests again, where all of them have asked for none; nothing
+    /// otherwise.
+    std::optional<Duration> untilAccepted(Instant now, const ServiceId &service) const;
+
     /// Counts a caller's request for the service: it earns a part of an extra attempt.
     void countRequest(const ServiceId &service);
 
@@ -120,6 +135,9 @@
         Instant waitingAt;
         ReplicaHealth health;
         Instant misdirectedUntil; ///< Another replica has its address: nothing goes there until then.
+        Instant refusesUntil; ///< It asked for no request until then.
+        bool recovering = false; ///< It asked for a pause, and has taken no request since.
+        bool leaving = false; ///< It said so; holds for as long as the endpoint does.
         bool removed = false; ///< No longer listed; attempts may still be in flight.
     };
 
@@ -130,6 +148,9 @@
     };
 
     Service &serviceOf(const ServiceId &service);
+    static bool accepts(const Endpoint &endpoint, Instant now);
+    Instant endOfRefusal(Instant now, Duration asked);
+    std::optional<EndpointChange> takeNotice(Instant now, Endpoint &endpoint, const AttemptEnd &end);
     double costOf(const Endpoint &endpoint, Instant now, const RouteLatency &latency);
     static Assessment assessmentNow(const Endpoint &endpoint, Instant now);
     static void assess(Endpoint &endpoint, Instant now, std::optional<double> slowness, bool failed);
--- a/include/hickoryshore/dispatch/request_run.h
+++ b/include/hickoryshore/dispatch/request_run.h
@@ -134,7 +134,8 @@
     bool mayRunAgain(const Part &part) const;
     void dropLive(Part &part, bool callerLeft, std::vector<RunAction> &actions);
     void finishIfDue(Instant now, std::vector<RunAction> &actions);
-    void finish(ResultCode code, std::vector<RunAction> &actions);
+    void finish(Instant now, ResultCode code, std::vector<RunAction> &actions);
+    Duration comeBackAfter(Instant now) const;
     ResultCode failureCode() const;
     std::size_t needed() const;
 
--- a/include/hickoryshore/entry/entry_dialect.h
+++ b/include/hickoryshore/entry/entry_dialect.h
@@ -28,6 +28,8 @@
     std::string coveredSignatures; ///< In a merged answer: the signatures of the results in it.
     std::string missingShards; ///< In a merged answer: the number of shards that it lacks.
     std::string replicaLoad;
+    std::string replicaLeaving; ///< In a response: the replica is leaving.
+    std::string pauseAsked; ///< In a refusal: for how long the replica wants no further request from this VM.
 };
 
 /// How the platform speaks.
@@ -47,6 +49,12 @@
     /// Requests in the replica's queue, from the value of the load header.
     std::function<std::optional<int>(std::string_view)> parseWaiting;
 
+    /// Whether the value of the leaving header says that the replica leaves.
+    std::function<bool(std::string_view)> parseLeaving;
+
+    /// The pause that a refusal asks for; nothing where the value is none.
+    std::function<std::optional<Duration>(std::string_view)> parsePause;
+
     std::function<CallerPlace(std::string_view query)> parseCallerPlace;
     std::function<std::string(const EntryPoints &)> formatEntryPoints;
 };
--- a/include/hickoryshore/entry/request_service.h
+++ b/include/hickoryshore/entry/request_service.h
@@ -31,6 +31,9 @@
 
     /// When a caller may come back that can't be served for want of routes or replicas.
     std::function<Duration()> comeBackAfter;
+
+    /// A replica has said that it leaves; may be empty.
+    std::function<void(EndpointId)> onReplicaLeaving;
 };
 
 /// All requests in flight at this VM. Lives on the loop's thread.
@@ -117,6 +120,7 @@
 
     void perform(HttpCallId call, std::vector<RunAction> &actions);
     std::optional<std::string> requestBytes(const Forwarding &forwarding,
+                                            EndpointId endpoint,
                                             std::string_view replica,
                                             Instant deadline) const;
     void send(HttpCallId call, ActiveRequest &active, const SendAttempt &action);
@@ -125,6 +129,8 @@
     void armTimer(HttpCallId call, ActiveRequest &active);
 
     void onExchangeEnd(AttemptId attempt, HttpExchangeEnd end);
+    void noteChange(const EndpointChange &change, ResultCode code);
+    void readNotice(const UpstreamHttpResponse &response, AttemptEnd &result) const;
     AttemptEnd classify(const ActiveAttempt &attempt, const HttpExchangeEnd &end, Instant now) const;
     void giveUpStray(AttemptId attempt);
     void observeService(EndpointId endpoint, Duration latency);
--- a/include/hickoryshore/entry/state_service.h
+++ b/include/hickoryshore/entry/state_service.h
@@ -46,6 +46,9 @@
     /// A peer has a newer configuration; asked for if the store does not bring it soon.
     void onRevisionHeard(Revision revision, const VmId &from);
 
+    /// A replica has said in a reply that it leaves: no listing takes that back.
+    void markLeaving(EndpointId endpoint);
+
     /// Answers another VM that follows the store by way of this one: at once, or when something changes.
     void answerPeer(const PeerStoreRequest &request, std::function<void(const HttpAnswer &)> answer);
 
--- a/include/hickoryshore/registry/replica_registry.h
+++ b/include/hickoryshore/registry/replica_registry.h
@@ -42,6 +42,7 @@
     EndpointId endpoint; ///< Another one after each start and each change of the address.
     std::string name; ///< Under which it is registered.
     ReplicaRecord record;
+    bool leaving = false; ///< This start has said that it leaves, in its entry or in a reply.
     std::optional<Instant> lapsesAt; ///< The entry vanished while the store was away: the replica counts until then.
 };
 
@@ -60,8 +61,16 @@
     /// within two seconds of the store's return; what is missing later is gone.
     static constexpr Duration lapseAllowance = std::chrono::milliseconds(2500);
 
+    /// For how long it is remembered that a start of a replica leaves after it was last listed: an older listing, or a
+    /// peer's older view, does not bring it back.
+    static constexpr Duration leavingMemory = std::chrono::minutes(10);
+
     /// A replica registered or changed its record.
-    void put(std::string_view name, const ReplicaRecord &record);
+    void put(Instant now, std::string_view name, const ReplicaRecord &record);
+
+    /// The replica said in a reply that it leaves. Holds for this start of it, whatever its entry says later. Returns
+    /// false where that was known, or the replica is not.
+    bool markLeaving(Instant now, EndpointId endpoint);
 
     /// An entry vanished. `storeWasAway` says that it may have lapsed though the replica lives.
     void remove(Instant now, std::string_view name, bool storeWasAway);
@@ -69,7 +78,8 @@
     /// Takes a whole listing: what it lacks has vanished.
     void replaceAll(Instant now, std::span<const ListedReplica> listing, bool storeWasAway);
 
-    /// Drops the replicas whose entries did not come back; returns whether there were any.
+    /// Drops the replicas whose entries did not come back, and forgets old marks; returns whether a replica was
+    /// dropped.
     bool expire(Instant now);
 
     /// When expire() has something to do next.
@@ -79,7 +89,21 @@
     const std::map<std::string, RegisteredReplica, std::less<>> &replicas() const;
 
 private:
+    /// One start of a replica.
+    struct Start
+    {
+        std::string name;
+        std::string address;
+        WallTime started;
+
+        auto operator<=>(const Start &) const = default;
+    };
+
+    static Start startOf(const RegisteredReplica &replica);
+    void noteLeaving(Instant now, RegisteredReplica &replica);
+
     std::map<std::string, RegisteredReplica, std::less<>> known;
+    std::map<Start, Instant> leaving; ///< Starts that leave, and when that was last noted.
     std::uint64_t lastEndpoint = 0;
 };
 
--- a/include/hickoryshore/upstream/http_connections.h
+++ b/include/hickoryshore/upstream/http_connections.h
@@ -50,6 +50,7 @@
     std::optional<HttpFailure> failure;
     bool sent = false; ///< A part of the request, at least, was handed to the network.
     bool dropped = false; ///< By dropWaiting().
+    bool withdrawn = false; ///< makeRequest made none: nothing was sent.
     UpstreamHttpResponse response; ///< Where there is no failure.
 };
 
@@ -62,7 +63,7 @@
     std::string request; ///< As bytes.
 
     /// Makes the request at the moment at which a connection takes it, for what depends on the time; nothing where it
-    /// is too late to send it. Empty: `request` stands already.
+    /// is not to be sent any more. Empty: `request` stands already.
     std::function<std::optional<std::string>()> makeRequest;
 
     Duration timeout{0};
@@ -102,6 +103,9 @@
     /// Returns whether an exchange with this tag waited for a connection: it will not be sent, and onEnd is told so.
     bool dropWaiting(std::string_view server, std::string_view tag);
 
+    /// Ends the exchanges that wait for a connection to this server and whose makeRequest makes no request any more.
+    void withdrawWaiting(std::string_view server);
+
     /// Closes the idle connections to a server that brought no reply since this time: what made one connection silent
     /// may have done it to all.
     void closeSuspects(std::string_view server, Instant notAliveSince);
@@ -169,6 +173,7 @@
     bool finishOpening(Id id, Connection &connection);
     void beginSending(Id id, Connection &connection);
     void withdraw(Id id, Connection &connection);
+    void endWithdrawn(HttpExchange exchange);
     void sendMore(Id id, Connection &connection);
     void receive(Id id, Connection &connection, bool ended);
     bool receiveEnd(Id id, Connection &connection);
--- a/src/hickoryshore/dispatch/endpoint_table.cpp
+++ b/src/hickoryshore/dispatch/endpoint_table.cpp
@@ -35,6 +35,10 @@
 constexpr double backoffCost = 5e4;
 /// How long a replica is left alone that answered for another one.
 constexpr Duration refusedElsewhere = 5s;
+/// A pause that a replica asked for is made longer by a random part of it, up to a bound, so that the VMs do not all
+/// come back at once.
+constexpr double refusalSpread = 0.25;
+constexpr Duration longestRefusalSpread = 500ms;
 /// Costs are compared with this much noise, so that the VMs do not all choose the same of two equal replicas.
 constexpr double costNoise = 0.1;
 /// Parts of the fleet's budget that are handed out: the rest covers VMs that start or end within a window.
@@ -140,10 +144,49 @@
     cost += endpoint.replica.sameDataCentre ? 0.0 : otherDataCentreCost;
     cost += endpoint.health.isEjected(now) ? ejectedCost : 0.0;
     cost += endpoint.health.isBackingOff(now) ? backoffCost : 0.0;
+    // After its pause one request tells whether it takes others again.
+    cost += endpoint.recovering && endpoint.inFlight > 0 ? ejectedCost : 0.0;
     std::uniform_real_distribution<double> noise(1.0, 1.0 + costNoise);
     return cost * noise(this->random);
 }
 
+bool EndpointTable::accepts(const Endpoint &endpoint, Instant now)
+{
+    return !endpoint.leaving && endpoint.misdirectedUntil <= now && endpoint.refusesUntil <= now;
+}
+
+std::optional<ResultCode> EndpointTable::refusalOf(Instant now, EndpointId id) const
+{
+    const auto found = this->endpoints.find(id);
+    if (found == this->endpoints.end() || found->second.removed || found->second.replica.draining) {
+        return ResultCode::UpstreamDraining;
+    }
+    if (accepts(found->second, now)) {
+        return std::nullopt;
+    }
+    return found->second.refusesUntil > now ? ResultCode::UpstreamShed : ResultCode::UpstreamDraining;
+}
+
+std::optional<Duration> EndpointTable::untilAccepted(Instant now, const ServiceId &service) const
+{
+    const auto found = this->services.find(service);
+    if (found == this->services.end()) {
+        return std::nullopt;
+    }
+    std::optional<Duration> shortest;
+    for (const EndpointId id : found->second.endpoints) {
+        const Endpoint &endpoint = this->endpoints.at(id);
+        if (accepts(endpoint, now)) {
+            return std::nullopt;
+        }
+        if (!endpoint.leaving && endpoint.refusesUntil > now) {
+            const Duration left = endpoint.refusesUntil - now;
+            shortest = std::min(shortest.value_or(left), left);
+        }
+    }
+    return shortest;
+}
+
 std::optional<EndpointId> EndpointTable::choose(Instant now,
                                                 const ServiceId &service,
                                                 const RouteLatency &latency,
@@ -157,7 +200,7 @@
     double bestCost = std::numeric_limits<double>::infinity();
     for (const EndpointId id : found->second.endpoints) {
         const Endpoint &endpoint = this->endpoints.at(id);
-        if (endpoint.misdirectedUntil > now || std::ranges::find(excluded, id) != excluded.end()) {
+        if (!accepts(endpoint, now) || std::ranges::find(excluded, id) != excluded.end()) {
             continue;
         }
         const double cost = this->costOf(endpoint, now, latency);
@@ -187,6 +230,34 @@
     ++endpoint.inFlight;
 }
 
+Instant EndpointTable::endOfRefusal(Instant now, Duration asked)
+{
+    const auto most = std::min(asked.count() * refusalSpread, static_cast<double>(longestRefusalSpread.count()));
+    std::uniform_real_distribution<double> spread(0.0, most);
+    return now + asked + Duration(static_cast<Duration::rep>(spread(this->random)));
+}
+
+/// Takes what the replica said of itself beside its answer.
+std::optional<EndpointChange> EndpointTable::takeNotice(Instant now, Endpoint &endpoint, const AttemptEnd &end)
+{
+    std::optional<EndpointChange> change;
+    if (end.refusesFor.has_value() && *end.refusesFor > Duration(0)) {
+        const bool wasRefusing = endpoint.refusesUntil > now;
+        endpoint.refusesUntil = std::max(endpoint.refusesUntil, this->endOfRefusal(now, *end.refusesFor));
+        endpoint.recovering = true;
+        if (!wasRefusing) {
+            change = {.endpoint = endpoint.replica.endpoint,
+                      .state = EndpointState::Refusing,
+                      .lasts = endpoint.refusesUntil - now};
+        }
+    }
+    if (end.leaving && !endpoint.leaving) {
+        endpoint.leaving = true;
+        change = {.endpoint = endpoint.replica.endpoint, .state = EndpointState::Leaving};
+    }
+    return change;
+}
+
 std::optional<EndpointChange> EndpointTable::countEnd(Instant now,
                                                       EndpointId id,
                                                       const RouteLatency &latency,
@@ -198,6 +269,10 @@
     }
     Endpoint &endpoint = found->second;
     --endpoint.inFlight;
+    if (end.withdrawn) {
+        this->forgetRemoved(id);
+        return std::nullopt;
+    }
     endpoint.quietSince = now;
     std::optional<EndpointChange> change;
     const bool wasEjected = endpoint.health.isEjected(now);
@@ -211,8 +286,9 @@
         const double ratio = std::min(static_cast<double>(end.latency.count()) / typical, mostSlowness);
         assess(endpoint, now, ratio, false);
         endpoint.health.countSuccess(now);
+        endpoint.recovering = false;
         if (wasEjected) {
-            change = {.endpoint = id, .ejected = false};
+            change = {.endpoint = id, .state = EndpointState::InUse};
         }
     } else if (end.code == ResultCode::UpstreamShed) {
         assess(endpoint, now, std::nullopt, true);
@@ -221,13 +297,15 @@
     } else if (end.code == ResultCode::UpstreamDraining) {
         // What goes there only adds to the load of another service, whose budget of extra attempts it uses up.
         endpoint.misdirectedUntil = now + refusedElsewhere;
-        change = {.endpoint = id, .ejected = true};
+        change = {.endpoint = id, .state = EndpointState::Misdirected};
     } else {
         assess(endpoint, now, std::nullopt, true);
         if (endpoint.health.countFailure(now)) {
-            change = {.endpoint = id, .ejected = true, .failures = endpoint.health.consecutiveFailures};
+            change = {.endpoint = id, .state = EndpointState::Ejected, .failures = endpoint.health.consecutiveFailures};
         }
     }
+    const auto notice = this->takeNotice(now, endpoint, end);
+    change = notice.has_value() ? notice : change;
     this->forgetRemoved(id);
     return change;
 }
--- a/src/hickoryshore/dispatch/endpoint_table_test.cpp
+++ b/src/hickoryshore/dispatch/endpoint_table_test.cpp
@@ -2,6 +2,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <vector>
+
 using namespace hickoryshore;
 using namespace std::chrono_literals;
 
@@ -40,6 +43,12 @@
         return this->table.choose(now, service, this->latency, excluded).value_or(EndpointId{});
     }
 
+    std::optional<EndpointChange> end(Instant now, EndpointId id, const AttemptEnd &end)
+    {
+        this->table.countSent(now, id);
+        return this->table.countEnd(now, id, this->latency, end);
+    }
+
     void reply(Instant sent, Duration latency, EndpointId id = near)
     {
         this->table.countSent(sent, id);
@@ -85,7 +94,7 @@
         this->table.countSent(start, near);
         change = this->table.countEnd(start, near, this->latency, {.code = ResultCode::UpstreamError});
     }
-    BOOST_TEST((change.has_value() && change->ejected));
+    BOOST_TEST((change.has_value() && change->state == EndpointState::Ejected));
     BOOST_TEST((this->choose(start) == far));
     BOOST_TEST((this->choose(start, {far}) == near));
 }
@@ -116,7 +125,7 @@
 {
     this->table.countSent(start, near);
     const auto change = this->table.countEnd(start, near, this->latency, {.code = ResultCode::UpstreamDraining});
-    BOOST_TEST((change.has_value() && change->ejected));
+    BOOST_TEST((change.has_value() && change->state == EndpointState::Misdirected));
     BOOST_TEST((this->choose(start, {far}) == EndpointId{}));
     BOOST_TEST((this->choose(start + 4s, {far}) == EndpointId{}));
 }
@@ -130,6 +139,97 @@
     BOOST_TEST((this->choose(start, {far}) == EndpointId{}));
 }
 
+BOOST_AUTO_TEST_CASE(a_replica_that_says_it_leaves_gets_nothing_more_whatever_a_listing_says)
+{
+    const auto change = this->end(start, near, {.leaving = true});
+    BOOST_TEST((change.has_value() && change->state == EndpointState::Leaving));
+    BOOST_TEST(!this->end(start, near, {.leaving = true}).has_value());
+    BOOST_TEST((this->choose(start) == far));
+    BOOST_TEST((this->choose(start, {far}) == EndpointId{}));
+    BOOST_TEST((this->table.refusalOf(start, near) == ResultCode::UpstreamDraining));
+    const std::vector<DirectReplica> olderListing
+        = {replica(near, Distance::SameRegion), replica(far, Distance::OtherRegion)};
+    this->table.setReplicas(start + 1s, olderListing);
+    BOOST_TEST((this->choose(start + 1min, {far}) == EndpointId{}));
+    BOOST_TEST(!this->table.untilAccepted(start, service).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_that_says_the_replica_leaves_counts_too)
+{
+    this->end(start, near, {.code = ResultCode::UpstreamShed, .leaving = true});
+    BOOST_TEST((this->choose(start + 1min, {far}) == EndpointId{}));
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_asks_for_a_pause_gets_nothing_within_it)
+{
+    const auto change = this->end(start, near, {.code = ResultCode::UpstreamShed, .refusesFor = 1500ms});
+    BOOST_TEST((change.has_value() && change->state == EndpointState::Refusing && change->lasts >= 1500ms));
+    BOOST_TEST((this->choose(start + 1499ms, {far}) == EndpointId{}));
+    BOOST_TEST((this->table.refusalOf(start + 1499ms, near) == ResultCode::UpstreamShed));
+    BOOST_TEST((this->choose(start + 2s, {far}) == near));
+    BOOST_TEST(!this->table.refusalOf(start + 2s, near).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_shorter_pause_told_later_does_not_end_a_longer_one)
+{
+    this->end(start, near, {.code = ResultCode::UpstreamShed, .refusesFor = 2s});
+    this->end(start + 100ms, near, {.code = ResultCode::UpstreamShed, .refusesFor = 50ms});
+    this->end(start + 200ms, near, {.code = ResultCode::UpstreamShed, .refusesFor = 0ms});
+    BOOST_TEST((this->choose(start + 1900ms, {far}) == EndpointId{}));
+}
+
+BOOST_AUTO_TEST_CASE(after_its_pause_a_replica_is_tried_with_one_request)
+{
+    this->end(start, near, {.code = ResultCode::UpstreamShed, .refusesFor = 100ms});
+    const Instant after = start + 60s;
+    BOOST_TEST((this->choose(after) == near));
+    this->table.countSent(after, near);
+    BOOST_TEST((this->choose(after) == far));
+    this->table.countEnd(after + 8ms, near, this->latency, {.latency = 8ms});
+    this->table.countSent(after + 9ms, near);
+    BOOST_TEST((this->choose(after + 9ms) == near));
+}
+
+BOOST_AUTO_TEST_CASE(many_vms_come_back_to_a_replica_one_after_the_other)
+{
+    // A hundred VMs that the same replica has asked for a pause of two seconds at the same moment.
+    std::vector<Duration> ends;
+    for (std::uint64_t vm = 1; vm <= 100; ++vm) {
+        EndpointTable each(vm * 7919);
+        const std::vector<DirectReplica> only = {replica(near, Distance::SameRegion)};
+        each.setReplicas(start, only);
+        each.countSent(start, near);
+        each.countEnd(start, near, this->latency, {.code = ResultCode::UpstreamShed, .refusesFor = 2s});
+        ends.push_back(each.untilAccepted(start, service).value_or(Duration(0)));
+    }
+    std::ranges::sort(ends);
+    BOOST_TEST((ends.front() >= 2s));
+    // No tenth of the spread takes more than a quarter of the VMs.
+    const Duration spread = 500ms;
+    for (std::size_t first = 0; first + 25 < ends.size(); ++first) {
+        BOOST_TEST((ends[first + 25] - ends[first] > spread / 10));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(the_first_replica_that_takes_requests_again_ends_the_wait)
+{
+    BOOST_TEST(!this->table.untilAccepted(start, service).has_value());
+    this->end(start, near, {.code = ResultCode::UpstreamShed, .refusesFor = 4s});
+    BOOST_TEST(!this->table.untilAccepted(start, service).has_value());
+    this->end(start, far, {.code = ResultCode::UpstreamShed, .refusesFor = 1s});
+    const auto wait = this->table.untilAccepted(start, service);
+    BOOST_REQUIRE(wait.has_value());
+    BOOST_TEST((*wait >= 1s && *wait <= 1500ms));
+}
+
+BOOST_AUTO_TEST_CASE(what_was_withdrawn_before_it_was_sent_says_nothing_of_the_replica)
+{
+    for (int withdrawn = 0; withdrawn < 10; ++withdrawn) {
+        this->end(start, near, {.code = ResultCode::DeadlineBeforeDispatch, .sent = false, .withdrawn = true});
+    }
+    BOOST_TEST((this->choose(start) == near));
+}
+
 BOOST_AUTO_TEST_CASE(extra_attempts_of_all_vms_together_stay_within_the_budget)
 {
     // Ten VMs, each with the most that it may spend at once, and then what 1,000 requests earn.
--- a/src/hickoryshore/dispatch/request_run.cpp
+++ b/src/hickoryshore/dispatch/request_run.cpp
@@ -15,7 +15,7 @@
 /// A part whose replicas all refused work is sent again after this time: about one service time.
 constexpr Duration refusalPause = 25ms;
 /// When a caller may come back whose request no replica could take.
-constexpr Duration comeBackAfter = 200ms;
+constexpr Duration usualComeBack = 200ms;
 /// A share such as 0.7 of 10 parts is 7, also where it is not exact in binary.
 constexpr double roundingSlack = 1e-9;
 /// Hedges of one part.
@@ -49,6 +49,8 @@
     for (std::size_t number = 0; number < this->parts.size(); ++number) {
         this->table->countRequest(this->settings.services[number]);
         if (!this->send(now, number, DirectAttempt::First, actions)) {
+            const bool allRefuse = this->table->untilAccepted(now, this->settings.services[number]).has_value();
+            this->parts[number].last = allRefuse ? ResultCode::UpstreamShed : ResultCode::NoReplica;
             this->give(this->parts[number]);
         }
     }
@@ -150,7 +152,8 @@
     }
     const bool refusedByAll
         = part.last == ResultCode::UpstreamShed && !part.retryAt.has_value() && !this->untried(now, number).has_value();
-    if (refusedByAll && now + refusalPause < this->settings.deadline) {
+    const bool pausesTold = this->table->untilAccepted(now, this->settings.services[number]).has_value();
+    if (refusedByAll && !pausesTold && now + refusalPause < this->settings.deadline) {
         part.retryAt = now + refusalPause;
         return;
     }
@@ -257,11 +260,11 @@
     const std::size_t all = this->parts.size();
     const bool enough = this->answered >= this->needed();
     if (this->answered == all) {
-        this->finish(ResultCode::Ok, actions);
+        this->finish(now, ResultCode::Ok, actions);
     } else if (enough && (this->answered + this->missing == all || now >= this->settings.answerBy)) {
-        this->finish(ResultCode::PartialAnswer, actions);
+        this->finish(now, ResultCode::PartialAnswer, actions);
     } else if (all - this->missing < this->needed() || now >= this->settings.deadline) {
-        this->finish(this->failureCode(), actions);
+        this->finish(now, this->failureCode(), actions);
     }
 }
 
@@ -285,7 +288,26 @@
     return code;
 }
 
-void RequestRun::finish(ResultCode code, std::vector<RunAction> &actions)
+/// When a request that nothing has run may come back: once enough of the parts that it misses have a replica that takes
+/// requests again.
+Duration RequestRun::comeBackAfter(Instant now) const
+{
+    std::vector<Duration> waits;
+    for (std::size_t number = 0; number < this->parts.size(); ++number) {
+        if (this->parts[number].state == PartState::Missing) {
+            const auto wait = this->table->untilAccepted(now, this->settings.services[number]);
+            waits.push_back(wait.value_or(usualComeBack));
+        }
+    }
+    const std::size_t possible = this->parts.size() - this->missing;
+    if (waits.empty() || possible >= this->needed()) {
+        return usualComeBack;
+    }
+    std::ranges::sort(waits);
+    return waits[this->needed() - possible - 1];
+}
+
+void RequestRun::finish(Instant now, ResultCode code, std::vector<RunAction> &actions)
 {
     this->ended = true;
     FinishRun answer{.code = code};
@@ -301,7 +323,7 @@
         }
         this->dropLive(part, false, actions);
     }
-    answer.retryAfter = surelyNotRun(code) ? comeBackAfter : Duration(0);
+    answer.retryAfter = surelyNotRun(code) ? this->comeBackAfter(now) : Duration(0);
     actions.emplace_back(std::move(answer));
 }
 
--- a/src/hickoryshore/dispatch/request_run_test.cpp
+++ b/src/hickoryshore/dispatch/request_run_test.cpp
@@ -193,6 +193,60 @@
     BOOST_TEST(this->take<SendAttempt>().size() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(a_part_whose_replicas_all_ask_for_a_pause_is_given_up_at_once)
+{
+    this->serve(1);
+    RequestRun run = this->run(1, lookupRun);
+    run.start(start, this->actions);
+    for (const Duration pause : {3s, 2s}) {
+        const auto sent = this->take<SendAttempt>();
+        BOOST_REQUIRE(sent.size() == 1);
+        const AttemptEnd refusal{.code = ResultCode::UpstreamShed, .refusesFor = pause};
+        this->table.countEnd(start + 5ms, sent.front().endpoint, this->latency, refusal);
+        run.onAttemptEnd(start + 5ms, sent.front().attempt, refusal, true, this->actions);
+    }
+    const auto finished = this->take<FinishRun>();
+    BOOST_REQUIRE(finished.size() == 1);
+    BOOST_TEST((finished.front().code == ResultCode::UpstreamShed));
+    BOOST_TEST((finished.front().retryAfter >= 2s && finished.front().retryAfter < 3s));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_within_a_pause_of_all_replicas_is_refused_before_it_is_sent)
+{
+    this->serve(1);
+    for (const std::uint64_t id : {1, 2}) {
+        this->table.countSent(start, {id});
+        this->table.countEnd(
+            start, {id}, this->latency, {.code = ResultCode::UpstreamShed, .refusesFor = Duration(2s)});
+    }
+    RequestRun run = this->run(1, lookupRun);
+    run.start(start + 500ms, this->actions);
+    BOOST_TEST(this->actions.size() == 1);
+    const auto finished = this->take<FinishRun>();
+    BOOST_REQUIRE(finished.size() == 1);
+    BOOST_TEST((finished.front().code == ResultCode::UpstreamShed));
+    BOOST_TEST(!finished.front().sent);
+    BOOST_TEST((finished.front().retryAfter >= 1500ms && finished.front().retryAfter <= 2s));
+}
+
+BOOST_AUTO_TEST_CASE(a_merged_answer_waits_only_for_as_many_pauses_as_it_needs)
+{
+    // Three of four shards are needed; their replicas ask for pauses of one to eight seconds.
+    this->serve(4, 1);
+    int number = 0;
+    for (const Duration pause : {1s, 2s, 4s, 8s}) {
+        const EndpointId id{static_cast<std::uint64_t>(++number)};
+        this->table.countSent(start, id);
+        this->table.countEnd(start, id, this->latency, {.code = ResultCode::UpstreamShed, .refusesFor = pause});
+    }
+    RequestRun run = this->run(4, mergedRun);
+    run.start(start, this->actions);
+    const auto finished = this->take<FinishRun>();
+    BOOST_REQUIRE(finished.size() == 1);
+    BOOST_TEST((finished.front().code == ResultCode::UpstreamShed));
+    BOOST_TEST((finished.front().retryAfter >= 4s && finished.front().retryAfter <= 5s));
+}
+
 BOOST_AUTO_TEST_CASE(no_part_runs_on_more_replicas_than_allowed)
 {
     this->serve(1, 6);
--- a/src/hickoryshore/entry/entry_vm.cpp
+++ b/src/hickoryshore/entry/entry_vm.cpp
@@ -102,6 +102,10 @@
                 .comeBackAfter =
                     [this] {
                         return this->state.comeBackAfter();
+                    },
+                .onReplicaLeaving =
+                    [this](EndpointId endpoint) {
+                        this->state.markLeaving(endpoint);
                     }}),
       state(loop,
             this->dialect,
--- a/src/hickoryshore/entry/replica_answers.cpp
+++ b/src/hickoryshore/entry/replica_answers.cpp
@@ -1,5 +1,6 @@
 // What the answers of replicas mean to a RequestService.
 #include "hickoryshore/entry/request_service.h"
+#include "hickoryshore/log/log.h"
 
 namespace hickoryshore {
 
@@ -10,12 +11,43 @@
 /// Another replica has the address than the one that was meant.
 constexpr int statusMisdirected = 421;
 constexpr int firstServerError = 500;
+constexpr int statusUnavailable = 503;
+constexpr std::size_t longestLoggedValue = 64;
 
 } // namespace
 
+/// Takes what the replica says of itself into the end of the attempt. One that answers for another replica's address
+/// says it of itself only.
+void RequestService::readNotice(const UpstreamHttpResponse &response, AttemptEnd &result) const
+{
+    const ForwardingHeaders &names = this->dialect.headers;
+    if (const auto load = findHeader(response.headers, names.replicaLoad)) {
+        result.waiting = this->dialect.parseWaiting(*load);
+    }
+    if (const auto leaving = findHeader(response.headers, names.replicaLeaving)) {
+        result.leaving = this->dialect.parseLeaving(*leaving);
+    }
+    const auto pause = findHeader(response.headers, names.pauseAsked);
+    if (response.status == statusUnavailable && pause.has_value()) {
+        result.refusesFor = this->dialect.parsePause(*pause);
+        if (!result.refusesFor.has_value()) {
+            writeLog({.level = LogLevel::Warn,
+                      .slice = "entry",
+                      .event = "pauseUnreadable",
+                      .fields = {{"value", std::string(pause->substr(0, longestLoggedValue))}}});
+        }
+    }
+}
+
 AttemptEnd RequestService::classify(const ActiveAttempt &attempt, const HttpExchangeEnd &end, Instant now) const
 {
     AttemptEnd result{.sent = end.sent, .latency = now - attempt.sentAt};
+    if (end.withdrawn) {
+        result.code = this->table.refusalOf(now, attempt.endpoint).value_or(ResultCode::DeadlineBeforeDispatch);
+        result.sent = false;
+        result.withdrawn = true;
+        return result;
+    }
     if (end.failure.has_value()) {
         switch (*end.failure) {
         case HttpFailure::Connect:
@@ -37,12 +69,12 @@
     const ForwardingHeaders &names = this->dialect.headers;
     const int status = end.response.status;
     const bool success = status >= firstSuccess && status < firstRedirect;
-    if (const auto load = findHeader(end.response.headers, names.replicaLoad)) {
-        result.waiting = this->dialect.parseWaiting(*load);
-    }
     if (status == statusMisdirected) {
         result.code = ResultCode::UpstreamDraining;
-    } else if (findHeader(end.response.headers, names.notExecuted).has_value()) {
+        return result;
+    }
+    this->readNotice(end.response, result);
+    if (findHeader(end.response.headers, names.notExecuted).has_value()) {
         result.code = ResultCode::UpstreamShed;
     } else if (success ? !findHeader(end.response.headers, names.resultSignature).has_value()
                        : attempt.merged || status >= firstServerError) {
--- a/src/hickoryshore/entry/request_service.cpp
+++ b/src/hickoryshore/entry/request_service.cpp
@@ -44,6 +44,23 @@
     return std::to_string(duration / 1ms);
 }
 
+/// How a changed belief about a replica is named in the log.
+std::string_view eventOf(EndpointState state)
+{
+    switch (state) {
+    case EndpointState::InUse:
+        return "replicaBack";
+    case EndpointState::Refusing:
+        return "replicaRefuses";
+    case EndpointState::Leaving:
+        return "replicaLeaves";
+    case EndpointState::Ejected:
+    case EndpointState::Misdirected:
+        break;
+    }
+    return "replicaEjected";
+}
+
 } // namespace
 
 RequestService::RequestService(EventLoop &loop,
@@ -120,7 +137,7 @@
                           .distance = near ? Distance::SameRegion : Distance::OtherRegion,
                           .sameDataCentre = record.dataCentre == this->settings.dataCentre,
                           .slots = record.slots,
-                          .draining = record.draining,
+                          .draining = replica.leaving,
                           .warmUpLeft = record.warmUpLeft});
         this->replicas[replica.endpoint] = {.name = replica.name, .address = record.address, .service = record.service};
         if (region != this->settings.regions.end()) {
@@ -267,13 +284,15 @@
     }
 }
 
-/// The request as it goes to a replica now; nothing where its time is over.
+/// The request as it goes to a replica now; nothing where its time is over, or the replica takes none any more.
 std::optional<std::string> RequestService::requestBytes(const Forwarding &forwarding,
+                                                        EndpointId endpoint,
                                                         std::string_view replica,
                                                         Instant deadline) const
 {
-    const Duration remaining = deadline - monotonicNow();
-    if (remaining < 1ms) {
+    const Instant now = monotonicNow();
+    const Duration remaining = deadline - now;
+    if (remaining < 1ms || this->table.refusalOf(now, endpoint).has_value()) {
         return std::nullopt;
     }
     std::string bytes;
@@ -290,10 +309,13 @@
     const Replica &replica = this->replicas.at(action.endpoint);
     const Forwarding &forwarding = *request.forwarding;
     HttpExchange exchange;
-    exchange.makeRequest
-        = [this, shared = request.forwarding, name = replica.name, deadline = monotonicNow() + action.remaining] {
-              return this->requestBytes(*shared, name, deadline);
-          };
+    exchange.makeRequest = [this,
+                            shared = request.forwarding,
+                            endpoint = action.endpoint,
+                            name = replica.name,
+                            deadline = monotonicNow() + action.remaining] {
+        return this->requestBytes(*shared, endpoint, name, deadline);
+    };
     exchange.timeout = action.remaining + strayLimit;
     exchange.proven = action.provenConnection;
     exchange.waits = true;
@@ -381,13 +403,7 @@
     const AttemptEnd result = this->classify(ended, end, now);
     const auto change = this->table.countEnd(now, ended.endpoint, *ended.latency, result);
     if (change.has_value()) {
-        const auto replica = this->replicas.find(ended.endpoint);
-        writeLog({.level = LogLevel::Warn,
-                  .slice = slice,
-                  .event = change->ejected ? "replicaEjected" : "replicaBack",
-                  .resultCode = result.code,
-                  .fields = {{"replica", replica == this->replicas.end() ? "" : replica->second.name},
-                             {"failures", std::to_string(change->failures)}}});
+        this->noteChange(*change, result.code);
     }
     if (result.code == ResultCode::Ok) {
         this->metrics.observe(Latency::Upstream, result.latency);
@@ -411,6 +427,27 @@
     this->perform(ended.call, actions);
 }
 
+/// Logs a changed belief about a replica. What waits for a connection to one that takes nothing more goes elsewhere.
+void RequestService::noteChange(const EndpointChange &change, ResultCode code)
+{
+    const auto replica = this->replicas.find(change.endpoint);
+    const bool listed = replica != this->replicas.end();
+    writeLog({.level = LogLevel::Warn,
+              .slice = slice,
+              .event = eventOf(change.state),
+              .resultCode = code,
+              .fields = {{"replica", listed ? replica->second.name : ""},
+                         {"failures", std::to_string(change.failures)},
+                         {"lastsMs", milliseconds(change.lasts)}}});
+    const bool takesNothing = change.state == EndpointState::Leaving || change.state == EndpointState::Refusing;
+    if (listed && takesNothing) {
+        this->upstream->withdrawWaiting(replica->second.address);
+    }
+    if (change.state == EndpointState::Leaving && this->hooks.onReplicaLeaving) {
+        this->hooks.onReplicaLeaving(change.endpoint);
+    }
+}
+
 void RequestService::observeService(EndpointId endpoint, Duration latency)
 {
     const auto replica = this->replicas.find(endpoint);
--- a/src/hickoryshore/entry/request_service_test.cpp
+++ b/src/hickoryshore/entry/request_service_test.cpp
@@ -25,10 +25,20 @@
                         .resultSignature = "Sign",
                         .coveredSignatures = "Signs",
                         .missingShards = "Missing",
-                        .replicaLoad = "Load"},
+                        .replicaLoad = "Load",
+                        .replicaLeaving = "Leaves",
+                        .pauseAsked = "Pause"},
             .recordBytes = 2,
-            .parseWaiting = [](std::string_view) {
-                return std::optional<int>();
+            .parseWaiting =
+                [](std::string_view) {
+                    return std::optional<int>();
+                },
+            .parseLeaving =
+                [](std::string_view text) {
+                    return text == "yes";
+                },
+            .parsePause = [](std::string_view text) -> std::optional<Duration> {
+                return text == "soon" ? std::optional<Duration>(400ms) : std::nullopt;
             }};
 }
 
@@ -56,6 +66,10 @@
                             .comeBackAfter =
                                 [] {
                                     return Duration(300ms);
+                                },
+                            .onReplicaLeaving =
+                                [this](EndpointId endpoint) {
+                                    this->registry.markLeaving(monotonicNow(), endpoint);
                                 }}};
     HttpListener front{loop,
                        "127.0.0.1:23700",
@@ -86,7 +100,8 @@
             HttpListenerHooks{.onRequest = [this, number, handler](HttpCallId call, const HttpServerRequest &request) {
                 handler(this->servers[number], call, request);
             }});
-        this->registry.put("replica-" + std::to_string(number),
+        this->registry.put(monotonicNow(),
+                           "replica-" + std::to_string(number),
                            {.service = {serviceName}, .address = address, .dataCentre = {"north"}, .slots = 2});
         this->service.setReplicas(this->registry);
     }
@@ -112,16 +127,30 @@
 
     UpstreamHttpResponse call(std::string_view text)
     {
-        HttpExchangeEnd ended{.failure = HttpFailure::Timeout};
-        this->loop.post([this, text, &ended] {
-            this->start(text, [this, &ended](const HttpExchangeEnd &end) {
-                ended = end;
-                this->loop.stop();
+        return this->callInTurn(text, 1).front();
+    }
+
+    /// Makes the same call several times, each after the answer to the one before. Once for each test: the loop runs
+    /// only once.
+    std::vector<UpstreamHttpResponse> callInTurn(std::string_view text, std::size_t count)
+    {
+        std::vector<UpstreamHttpResponse> answers;
+        std::function<void()> next = [this, text, count, &answers, &next] {
+            this->start(text, [this, count, &answers, &next](const HttpExchangeEnd &end) {
+                if (!end.failure.has_value()) {
+                    answers.push_back(end.response);
+                }
+                if (!end.failure.has_value() && answers.size() < count) {
+                    next();
+                } else {
+                    this->loop.stop();
+                }
             });
-        });
+        };
+        this->loop.post(next);
         this->run();
-        BOOST_REQUIRE(!ended.failure.has_value());
-        return ended.response;
+        BOOST_REQUIRE(answers.size() == count);
+        return answers;
     }
 
     void run()
@@ -241,6 +270,116 @@
     BOOST_TEST(runs == 1);
 }
 
+BOOST_AUTO_TEST_CASE(a_replica_that_says_it_leaves_gets_no_further_request)
+{
+    int leaving = 0;
+    this->addRoute({.idempotent = false, .split = {{{"s"}, 1.0}}});
+    this->addReplica("s", [&leaving](HttpListener &listener, HttpCallId call, const HttpServerRequest &) {
+        ++leaving;
+        listener.answer(call, {.status = 200, .headers = {{"Sign", "a"}, {"Leaves", "yes"}}, .body = "first"});
+    });
+    this->addReplica("s", [&leaving](HttpListener &listener, HttpCallId call, const HttpServerRequest &) {
+        ++leaving;
+        listener.answer(call, {.status = 200, .headers = {{"Sign", "a"}, {"Leaves", "yes"}}, .body = "second"});
+    });
+    const auto answers = this->callInTurn(post, 5);
+    BOOST_TEST(leaving == 2);
+    BOOST_TEST(answers[1].status == 200);
+    BOOST_TEST(answers[2].status == 503);
+    BOOST_TEST(answers[4].status == 503);
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_at_a_taken_over_address_does_not_mark_the_one_that_was_meant)
+{
+    this->addRoute({.idempotent = false, .split = {{{"s"}, 1.0}}});
+    this->addReplica("s", [](HttpListener &listener, HttpCallId call, const HttpServerRequest &) {
+        listener.answer(call, {.status = 421, .headers = {{"Leaves", "yes"}}});
+    });
+    BOOST_TEST(this->call(post).status == 503);
+    BOOST_TEST(!this->registry.replicas().at("replica-0").leaving);
+}
+
+BOOST_AUTO_TEST_CASE(a_mark_that_means_nothing_is_not_taken)
+{
+    this->addRoute({.idempotent = false, .split = {{{"s"}, 1.0}}});
+    this->addReplica("s", [](HttpListener &listener, HttpCallId call, const HttpServerRequest &) {
+        listener.answer(call, {.status = 200, .headers = {{"Sign", "a"}, {"Leaves", "no"}}, .body = "here"});
+    });
+    for (const UpstreamHttpResponse &response : this->callInTurn(post, 3)) {
+        BOOST_TEST(response.body == "here");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_asks_for_a_pause_gets_nothing_and_the_caller_is_told_when_it_ends)
+{
+    int refused = 0;
+    this->addRoute({.idempotent = false, .split = {{{"s"}, 1.0}}});
+    this->addReplica("s", [&refused](HttpListener &listener, HttpCallId call, const HttpServerRequest &) {
+        ++refused;
+        listener.answer(call, {.status = 503, .headers = {{"Not-Run", "1"}, {"Pause", "soon"}}});
+    });
+    for (const UpstreamHttpResponse &response : this->callInTurn(post, 4)) {
+        BOOST_TEST(response.status == 503);
+        const double wait = std::stod(headerOf(response, "Retry-After"));
+        BOOST_TEST((wait > 0.1 && wait <= 0.5));
+    }
+    BOOST_TEST(refused == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_pause_that_cannot_be_read_is_none)
+{
+    int refused = 0;
+    this->addRoute({.idempotent = false, .split = {{{"s"}, 1.0}}});
+    this->addReplica("s", [&refused](HttpListener &listener, HttpCallId call, const HttpServerRequest &) {
+        ++refused;
+        listener.answer(call, {.status = 503, .headers = {{"Not-Run", "1"}, {"Pause", "-7"}}});
+    });
+    for (const UpstreamHttpResponse &response : this->callInTurn(post, 2)) {
+        BOOST_TEST(response.status == 503);
+    }
+    BOOST_TEST(refused >= 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_waits_for_a_connection_leaves_a_replica_that_leaves)
+{
+    // One connection to the first replica: the second request waits for it, and must not be sent there.
+    int leaving = 0;
+    int done = 0;
+    this->addRoute({.idempotent = false, .split = {{{"s"}, 1.0}}});
+    this->addReplica("s", [this, &leaving](HttpListener &listener, HttpCallId call, const HttpServerRequest &) {
+        ++leaving;
+        this->addReplica("s", answering("b", "other"));
+        this->loop.after(100ms, [&listener, call] {
+            listener.answer(call, {.status = 200, .headers = {{"Sign", "a"}, {"Leaves", "yes"}}, .body = "first"});
+        });
+    });
+    this->service.setShare(0.001);
+    const RouteTable limited{.version = 2,
+                             .routes = {{.name = {"r"},
+                                         .host = "h",
+                                         .pathPrefix = "/",
+                                         .timeout = 2s,
+                                         .latencyObjective = 1s,
+                                         .maximumAttempts = 2,
+                                         .split = {{{"s"}, 1.0}}}},
+                             .services = {{.service = {"s"}, .connectionsPerReplica = 1}}};
+    this->service.setRouteTable(std::make_shared<const RouteTable>(limited));
+    std::vector<std::string> bodies;
+    this->loop.post([this, &bodies, &done] {
+        for (int request = 0; request < 2; ++request) {
+            this->start(post, [this, &bodies, &done](const HttpExchangeEnd &end) {
+                bodies.push_back(end.response.body);
+                if (++done == 2) {
+                    this->loop.stop();
+                }
+            });
+        }
+    });
+    this->run();
+    BOOST_TEST(bodies == (std::vector<std::string>{"first", "other"}), boost::test_tools::per_element());
+    BOOST_TEST(leaving == 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_caller_that_leaves_stops_the_replica)
 {
     bool replicaSawLeave = false;
@@ -259,7 +398,8 @@
                                   replicaSawLeave = true;
                                   this->loop.stop();
                               }});
-    this->registry.put("only", {.service = {"s"}, .address = address, .dataCentre = {"north"}, .slots = 2});
+    this->registry.put(
+        monotonicNow(), "only", {.service = {"s"}, .address = address, .dataCentre = {"north"}, .slots = 2});
     this->service.setReplicas(this->registry);
     this->loop.post([this, &waiting] {
         waiting = this->start(get, {});
--- a/src/hickoryshore/entry/state_service.cpp
+++ b/src/hickoryshore/entry/state_service.cpp
@@ -177,7 +177,7 @@
     }
     const ListedReplica replica = this->readReplica(change.key, change.value.value_or(""));
     if (replica.record.has_value()) {
-        this->registry.put(replica.name, *replica.record);
+        this->registry.put(monotonicNow(), replica.name, *replica.record);
     } else {
         this->registry.remove(monotonicNow(), replica.name, taken.storeWasAway);
     }
@@ -266,6 +266,11 @@
     }
 }
 
+void StateService::markLeaving(EndpointId endpoint)
+{
+    this->registry.markLeaving(monotonicNow(), endpoint);
+}
+
 void StateService::setMembers(std::shared_ptr<const MembershipView> view)
 {
     this->members = std::move(view);
--- a/src/hickoryshore/registry/replica_registry.cpp
+++ b/src/hickoryshore/registry/replica_registry.cpp
@@ -15,16 +15,47 @@
 
 } // namespace
 
-void ReplicaRegistry::put(std::string_view name, const ReplicaRecord &record)
+ReplicaRegistry::Start ReplicaRegistry::startOf(const RegisteredReplica &replica)
 {
-    const auto found = this->known.find(name);
+    return {.name = replica.name, .address = replica.record.address, .started = replica.record.started};
+}
+
+void ReplicaRegistry::noteLeaving(Instant now, RegisteredReplica &replica)
+{
+    replica.leaving = true;
+    this->leaving[startOf(replica)] = now;
+}
+
+void ReplicaRegistry::put(Instant now, std::string_view name, const ReplicaRecord &record)
+{
+    auto found = this->known.find(name);
     if (found != this->known.end() && isSameStart(found->second.record, record)) {
         found->second.record = record;
         found->second.lapsesAt.reset();
-        return;
+    } else {
+        found = this->known
+                    .insert_or_assign(std::string(name),
+                                      RegisteredReplica{.endpoint = {++this->lastEndpoint},
+                                                        .name = std::string(name),
+                                                        .record = record,
+                                                        .lapsesAt = std::nullopt})
+                    .first;
     }
-    this->known[std::string(name)]
-        = {.endpoint = {++this->lastEndpoint}, .name = std::string(name), .record = record, .lapsesAt = std::nullopt};
+    if (record.draining || this->leaving.contains(startOf(found->second))) {
+        this->noteLeaving(now, found->second);
+    }
+}
+
+bool ReplicaRegistry::markLeaving(Instant now, EndpointId endpoint)
+{
+    const auto found = std::ranges::find_if(this->known, [endpoint](const auto &entry) {
+        return entry.second.endpoint == endpoint;
+    });
+    if (found == this->known.end() || found->second.leaving) {
+        return false;
+    }
+    this->noteLeaving(now, found->second);
+    return true;
 }
 
 void ReplicaRegistry::remove(Instant now, std::string_view name, bool storeWasAway)
@@ -35,7 +66,10 @@
     }
     RegisteredReplica &replica = found->second;
     // One that had said that it leaves is gone for certain.
-    if (!storeWasAway || replica.record.draining) {
+    if (!storeWasAway || replica.leaving) {
+        if (replica.leaving) {
+            this->noteLeaving(now, replica);
+        }
         this->known.erase(found);
     } else if (!replica.lapsesAt.has_value()) {
         replica.lapsesAt = now + lapseAllowance;
@@ -48,7 +82,7 @@
     for (const ListedReplica &entry : listing) {
         if (entry.record.has_value()) {
             listed.insert(entry.name);
-            this->put(entry.name, *entry.record);
+            this->put(now, entry.name, *entry.record);
         }
     }
     std::vector<std::string> missing;
@@ -67,6 +101,9 @@
     const std::size_t dropped = std::erase_if(this->known, [now](const auto &entry) {
         return entry.second.lapsesAt.has_value() && *entry.second.lapsesAt <= now;
     });
+    std::erase_if(this->leaving, [this, now](const auto &entry) {
+        return !this->known.contains(entry.first.name) && entry.second + leavingMemory <= now;
+    });
     return dropped > 0;
 }
 
--- a/src/hickoryshore/registry/replica_registry_test.cpp
+++ b/src/hickoryshore/registry/replica_registry_test.cpp
@@ -19,14 +19,14 @@
 BOOST_AUTO_TEST_CASE(a_replica_keeps_its_endpoint_until_it_starts_anew)
 {
     ReplicaRegistry registry;
-    registry.put("a", record("1:1"));
+    registry.put(start, "a", record("1:1"));
     const EndpointId first = registry.replicas().at("a").endpoint;
     ReplicaRecord draining = record("1:1");
     draining.draining = true;
-    registry.put("a", draining);
+    registry.put(start, "a", draining);
     BOOST_TEST((registry.replicas().at("a").endpoint == first));
     BOOST_TEST(registry.replicas().at("a").record.draining);
-    registry.put("a", record("1:1", 2));
+    registry.put(start, "a", record("1:1", 2));
     BOOST_TEST((registry.replicas().at("a").endpoint != first));
     BOOST_TEST(!registry.replicas().at("a").record.draining);
 }
@@ -34,7 +34,7 @@
 BOOST_AUTO_TEST_CASE(an_entry_that_vanishes_is_gone_at_once)
 {
     ReplicaRegistry registry;
-    registry.put("a", record("1:1"));
+    registry.put(start, "a", record("1:1"));
     registry.remove(start, "a", false);
     BOOST_TEST(registry.replicas().empty());
 }
@@ -42,13 +42,13 @@
 BOOST_AUTO_TEST_CASE(an_entry_that_vanishes_with_the_store_may_come_back)
 {
     ReplicaRegistry registry;
-    registry.put("a", record("1:1"));
-    registry.put("b", record("2:1"));
+    registry.put(start, "a", record("1:1"));
+    registry.put(start, "b", record("2:1"));
     const EndpointId first = registry.replicas().at("a").endpoint;
     registry.remove(start, "a", true);
     registry.replaceAll(start + 500ms, {}, true);
     BOOST_TEST(registry.replicas().size() == 2);
-    registry.put("a", record("1:1"));
+    registry.put(start, "a", record("1:1"));
     BOOST_TEST((registry.nextExpiry() == start + 500ms + ReplicaRegistry::lapseAllowance));
     BOOST_TEST(registry.expire(start + 4s));
     BOOST_TEST(registry.replicas().size() == 1);
@@ -56,6 +56,57 @@
     BOOST_TEST(!registry.expire(start + 9s));
 }
 
+BOOST_AUTO_TEST_CASE(a_start_that_leaves_stays_so_whatever_an_older_listing_says)
+{
+    ReplicaRegistry registry;
+    registry.put(start, "a", record("1:1"));
+    BOOST_TEST(registry.markLeaving(start, registry.replicas().at("a").endpoint));
+    BOOST_TEST(!registry.markLeaving(start, registry.replicas().at("a").endpoint));
+    const std::vector<ListedReplica> older = {{.name = "a", .record = record("1:1")}};
+    registry.replaceAll(start + 1s, older, false);
+    BOOST_TEST(registry.replicas().at("a").leaving);
+    // Gone, and brought back by a listing from before: a peer's, or of a store that lost its entries meanwhile.
+    registry.remove(start + 2s, "a", true);
+    BOOST_TEST(registry.replicas().empty());
+    registry.replaceAll(start + 3s, older, true);
+    BOOST_TEST(registry.replicas().at("a").leaving);
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_said_draining_is_not_ready_again)
+{
+    ReplicaRegistry registry;
+    ReplicaRecord draining = record("1:1");
+    draining.draining = true;
+    registry.put(start, "a", draining);
+    registry.put(start + 1s, "a", record("1:1"));
+    BOOST_TEST(registry.replicas().at("a").leaving);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_start_at_the_same_name_or_address_is_not_leaving)
+{
+    ReplicaRegistry registry;
+    registry.put(start, "a", record("1:1", 1));
+    registry.markLeaving(start, registry.replicas().at("a").endpoint);
+    registry.put(start + 1s, "a", record("1:1", 2));
+    BOOST_TEST(!registry.replicas().at("a").leaving);
+    registry.put(start + 1s, "b", record("1:1", 1));
+    BOOST_TEST(!registry.replicas().at("b").leaving);
+    // An entry of the former start that comes late.
+    registry.put(start + 2s, "a", record("1:1", 1));
+    BOOST_TEST(registry.replicas().at("a").leaving);
+}
+
+BOOST_AUTO_TEST_CASE(marks_of_replicas_that_are_gone_are_forgotten)
+{
+    ReplicaRegistry registry;
+    registry.put(start, "a", record("1:1"));
+    registry.markLeaving(start, registry.replicas().at("a").endpoint);
+    registry.remove(start, "a", false);
+    registry.expire(start + ReplicaRegistry::leavingMemory);
+    registry.put(start + ReplicaRegistry::leavingMemory, "a", record("1:1"));
+    BOOST_TEST(!registry.replicas().at("a").leaving);
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_that_cannot_be_read_names_no_replica)
 {
     ReplicaRegistry registry;
--- a/src/hickoryshore/statesync/prefix_follower.cpp
+++ b/src/hickoryshore/statesync/prefix_follower.cpp
@@ -98,8 +98,10 @@
     this->answered(actions);
     this->failedAt = changes.storeWasAway ? now : this->failedAt;
     for (StoreChange &change : changes.changes) {
+        // A peer may have handed over a newer state, in which a key is gone, while this watch was under way.
         const auto found = this->state.find(change.key);
-        if (found != this->state.end() && found->second.revision >= change.revision) {
+        const bool known = change.revision <= this->knownAsOf;
+        if (known || (found != this->state.end() && found->second.revision >= change.revision)) {
             continue;
         }
         if (change.value.has_value()) {
--- a/src/hickoryshore/statesync/prefix_follower_test.cpp
+++ b/src/hickoryshore/statesync/prefix_follower_test.cpp
@@ -127,4 +127,17 @@
     BOOST_TEST(this->take<WatchKeys>().at(0).after == 7);
 }
 
+BOOST_AUTO_TEST_CASE(changes_from_before_a_peers_state_do_not_bring_back_what_it_lacks)
+{
+    // A watch is under way at a source that is behind when a peer hands over a newer state, in which a key that the
+    // source still adds has gone.
+    this->list(10);
+    this->follower.onPeerState(start, {.items = {{"a", "1", 3}}, .asOf = 20}, this->actions);
+    this->actions.clear();
+    this->follower.onChanges(start, {.changes = {{"c", "left", 12}, {"b", "old", 13}}, .asOf = 14}, this->actions);
+    BOOST_TEST(this->take<TakeChange>().empty());
+    BOOST_TEST(this->follower.items().size() == 1);
+    BOOST_TEST(this->follower.asOf() == 20);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/hickoryshore/upstream/http_connections.cpp
+++ b/src/hickoryshore/upstream/http_connections.cpp
@@ -316,13 +316,29 @@
     this->setDeadline(id, connection, connection.lastAlive + this->settings.idleLimit);
     connection.server->idle.push_back(id);
     this->serveWaitingSoon(*connection.server);
+    this->endWithdrawn(std::move(exchange));
+}
+
+void HttpConnections::endWithdrawn(HttpExchange exchange)
+{
     this->loop.post([onEnd = std::move(exchange.onEnd)] {
         if (onEnd) {
-            onEnd({.failure = HttpFailure::Connect});
+            onEnd({.failure = HttpFailure::Connect, .withdrawn = true});
         }
     });
 }
 
+void HttpConnections::withdrawWaiting(std::string_view serverName)
+{
+    const std::deque<Id> candidates = this->serverOf(serverName).waiting;
+    for (const Id id : candidates) {
+        const HttpExchange &exchange = this->waiting.at(id).exchange;
+        if (exchange.makeRequest && !exchange.makeRequest().has_value()) {
+            this->endWithdrawn(this->takeWaiting(id));
+        }
+    }
+}
+
 void HttpConnections::sendMore(Id id, Connection &connection)
 {
     const std::string &request = connection.exchange->request;
