Answer a caller 503 rather than pass on a replica's 421; share the compiler's cache between clones

Cause: where every replica had answered that it is not the one that was meant, the last such answer went to the caller as it was. It concerns the way from this VM to the replica only. Shown by a_replica_at_a_taken_over_address_does_not_mark_the_one_that_was_meant, which failed before (421 in place of 503).

--- a/src/hickoryshore/entry/request_answers.cpp
+++ b/src/hickoryshore/entry/request_answers.cpp
@@ -3,6 +3,7 @@
 #include "hickoryshore/dispatch/record_merge.h"
 #include "hickoryshore/entry/request_service.h"
 #include "hickoryshore/log/log.h"
+#include "hickoryshore/shard/retry_policy.h"
 
 #include <algorithm>
 #include <span>
@@ -64,8 +65,9 @@
     if (answered) {
         return this->forwardedAnswer(request.replies.at(outcome.answered.front()));
     }
-    // What a replica said goes on unchanged, unless it did not run the request while another attempt may have.
-    if (request.route->shards.empty() && outcome.failureReply.has_value()) {
+    // What a replica said goes on unchanged, unless it did not run the request: that says nothing of other attempts,
+    // and a replica that was not meant speaks to this VM only.
+    if (request.route->shards.empty() && outcome.failureReply.has_value() && !surelyNotRun(outcome.code)) {
         const UpstreamHttpResponse &reply = request.replies.at(*outcome.failureReply);
         const bool saysNotRun = findHeader(reply.headers, this->dialect.headers.notExecuted).has_value();
         if (!saysNotRun && reply.status / 100 != 2) {
--- a/tools/build.sh
+++ b/tools/build.sh
@@ -5,5 +5,7 @@
 cd "$(dirname "$0")/.."
 folder=${1:-build}
 shift || true
+# Clones in other folders share the compiler's cache.
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
 cmake -S . -B "$folder" -G Ninja "$@" >/dev/null
 cmake --build "$folder" --target "${TARGET:-all}"
--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -4,6 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 runs=${1:-20000}
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
 cmake -S . -B build-fuzz -G Ninja -DCMAKE_CXX_COMPILER=clang++ -DHICKORYSHORE_FUZZ=ON >/dev/null
 cmake --build build-fuzz --target fuzz_targets
 for target in build-fuzz/fuzz/*_fuzz; do
