--- a/include/hickoryshore/entry/state_service.h
+++ b/include/hickoryshore/entry/state_service.h
@@ -78,6 +78,8 @@
     void perform(Followed which);
     void perform(Followed which, FollowerAction &action);
     void list(Followed which, const ListKeys &call);
+    template<typename Key>
+    bool concerns(Followed which, const std::vector<Key> &keys) const;
     void watch(Followed which, const WatchKeys &call);
     void armTimer(Followed which);
     void takeListing(Followed which, const TakeListing &listing);
--- a/include/hickoryshore/httpserver/http_listener.h
+++ b/include/hickoryshore/httpserver/http_listener.h
@@ -73,6 +73,9 @@
 
     std::size_t connections() const;
 
+    /// Connections on which a request is being read or answered, or whose answer has not been sent whole.
+    std::size_t busyConnections() const;
+
 private:
     using Id = std::uint64_t;
 
--- a/src/hickoryshore/clock/clock.cpp
+++ b/src/hickoryshore/clock/clock.cpp
@@ -1,10 +1,16 @@
 #include "hickoryshore/clock/clock.h"
 
+#include <ctime>
+
 namespace hickoryshore {
 
 Instant monotonicNow()
 {
-    return Instant(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    // Not CLOCK_MONOTONIC: that stands still while the machine is suspended, and deadlines and leases do not.
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return Instant(
+        std::chrono::duration_cast<Duration>(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 WallTime wallNow()
--- a/src/hickoryshore/dispatch/endpoint_table.cpp
+++ b/src/hickoryshore/dispatch/endpoint_table.cpp
@@ -232,7 +232,8 @@
 
 Instant EndpointTable::endOfRefusal(Instant now, Duration asked)
 {
-    const auto most = std::min(asked.count() * refusalSpread, static_cast<double>(longestRefusalSpread.count()));
+    const auto most = std::min(static_cast<double>(asked.count()) * refusalSpread,
+                               static_cast<double>(longestRefusalSpread.count()));
     std::uniform_real_distribution<double> spread(0.0, most);
     return now + asked + Duration(static_cast<Duration::rep>(spread(this->random)));
 }
--- a/src/hickoryshore/dispatch/request_run.cpp
+++ b/src/hickoryshore/dispatch/request_run.cpp
@@ -227,6 +227,8 @@
 
 void RequestRun::onTimer(Instant now, std::vector<RunAction> &actions)
 {
+    // First, since a VM that stood still must not send what is no longer waited for.
+    this->finishIfDue(now, actions);
     for (std::size_t number = 0; number < this->parts.size() && !this->ended; ++number) {
         Part &part = this->parts[number];
         if (part.state == PartState::Waiting && part.retryAt.has_value() && *part.retryAt <= now) {
--- a/src/hickoryshore/entry/entry_vm.cpp
+++ b/src/hickoryshore/entry/entry_vm.cpp
@@ -334,7 +334,7 @@
 void EntryVm::advanceShutdown()
 {
     std::vector<ShutdownAction> actions;
-    this->shutdown.onTimer(monotonicNow(), this->requests.inFlight(), actions);
+    this->shutdown.onTimer(monotonicNow(), this->callers.busyConnections(), actions);
     for (const ShutdownAction &action : actions) {
         if (const auto *exit = std::get_if<ExitAction>(&action)) {
             writeLog({.level = exit->cut > 0 ? LogLevel::Error : LogLevel::Info,
--- a/src/hickoryshore/entry/replica_answers.cpp
+++ b/src/hickoryshore/entry/replica_answers.cpp
@@ -69,12 +69,20 @@
     const ForwardingHeaders &names = this->dialect.headers;
     const int status = end.response.status;
     const bool success = status >= firstSuccess && status < firstRedirect;
+    const bool notExecuted = findHeader(end.response.headers, names.notExecuted).has_value();
+    const bool promises = success || notExecuted || status == statusMisdirected;
+    const bool identified = findHeader(end.response.headers, names.requestId).has_value();
+    if ((promises && !identified) || findHeader(end.response.headers, "Content-Encoding").has_value()) {
+        // Without the id it may answer an earlier request; encoded, it is not the bytes that the replica made.
+        result.code = ResultCode::UpstreamGarbage;
+        return result;
+    }
     if (status == statusMisdirected) {
         result.code = ResultCode::UpstreamDraining;
         return result;
     }
     this->readNotice(end.response, result);
-    if (findHeader(end.response.headers, names.notExecuted).has_value()) {
+    if (notExecuted) {
         result.code = ResultCode::UpstreamShed;
     } else if (success ? !findHeader(end.response.headers, names.resultSignature).has_value()
                        : attempt.merged || status >= firstServerError) {
--- /dev/null
+++ b/src/hickoryshore/entry/replica_faults_test.cpp
@@ -0,0 +1,292 @@
+// What callers get where a replica answers twice, late, or only in part: each framing, over real connections.
+#include "entry_fixture.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace hickoryshore;
+using namespace hickoryshore::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int rawPort = 23760;
+constexpr std::string_view endOfHeader = "\r\n\r\n";
+
+/// A replica that answers each request with bytes of the test's choice. Lives on the loop's thread.
+class RawReplica
+{
+public:
+    using Handler = std::function<void(int connection, const std::string &id)>;
+
+    RawReplica(EventLoop &loop, Handler onRequest) : loop(loop), onRequest(std::move(onRequest))
+    {
+        const int on = 1;
+        setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(rawPort);
+        BOOST_REQUIRE(bind(this->listener, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0);
+        BOOST_REQUIRE(listen(this->listener, 16) == 0);
+        loop.watch(this->listener, [this] {
+            this->accept();
+        });
+    }
+
+    ~RawReplica()
+    {
+        for (const auto &[descriptor, watch] : this->watches) {
+            this->loop.unwatchStream(watch, descriptor);
+            ::close(descriptor);
+        }
+        ::close(this->listener);
+    }
+
+    RawReplica(const RawReplica &) = delete;
+    RawReplica &operator=(const RawReplica &) = delete;
+
+    void write(int connection, std::string_view bytes) const
+    {
+        if (this->watches.contains(connection)) {
+            static_cast<void>(!::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+        }
+    }
+
+    /// Ends the connection: in order, or with a reset.
+    void end(int connection, bool reset)
+    {
+        const auto found = this->watches.find(connection);
+        if (found == this->watches.end()) {
+            return;
+        }
+        const linger atOnce{.l_onoff = 1, .l_linger = 0};
+        if (reset) {
+            setsockopt(connection, SOL_SOCKET, SO_LINGER, &atOnce, sizeof(atOnce));
+        }
+        this->loop.unwatchStream(found->second, connection);
+        this->watches.erase(found);
+        ::close(connection);
+    }
+
+    int accepted = 0;
+
+private:
+    void accept()
+    {
+        const int connection = accept4(this->listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (connection < 0) {
+            return;
+        }
+        ++this->accepted;
+        this->watches[connection] = this->loop.watchStream(connection, [this, connection](Readiness) {
+            this->receive(connection);
+        });
+    }
+
+    void receive(int connection)
+    {
+        std::array<char, 4096> buffer;
+        const ssize_t count = recv(connection, buffer.data(), buffer.size(), 0);
+        if (count <= 0) {
+            if (count == 0) {
+                this->end(connection, false);
+            }
+            return;
+        }
+        const std::string request(buffer.data(), static_cast<std::size_t>(count));
+        const std::size_t id = request.find("Id: ") + 4;
+        this->onRequest(connection, request.substr(id, request.find("\r\n", id) - id));
+    }
+
+    EventLoop &loop;
+    Handler onRequest;
+    int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    std::map<int, std::uint64_t> watches;
+};
+
+enum class Framing { Length, Chunks, UntilClose };
+
+std::string answerBytes(Framing framing, const std::string &id, const std::string &body)
+{
+    std::string text = "HTTP/1.1 200 OK\r\nSign: s\r\n" + (id.empty() ? "" : "Id: " + id + "\r\n");
+    switch (framing) {
+    case Framing::Length:
+        return text + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    case Framing::Chunks:
+        return text + "Transfer-Encoding: chunked\r\n\r\n" + std::to_string(body.size()) + "\r\n" + body
+            + "\r\n0\r\n\r\n";
+    case Framing::UntilClose:
+        break;
+    }
+    return text + "\r\n" + body;
+}
+
+std::string requestBytes(const std::string &id, std::string_view method)
+{
+    return std::string(method) + " /a HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\nLeft: 1500\r\nContent-Length: 0\r\n\r\n";
+}
+
+/// An entry whose only replica answers with raw bytes.
+struct RawEntry : Entry
+{
+    std::optional<RawReplica> replica;
+
+    void serve(RawReplica::Handler handler, bool idempotent)
+    {
+        this->addRoute({.idempotent = idempotent, .split = {{{"s"}, 1.0}}});
+        this->replica.emplace(this->loop, std::move(handler));
+        this->registry.put(
+            monotonicNow(),
+            "raw",
+            {.service = {"s"}, .address = "127.0.0.1:" + std::to_string(rawPort), .dataCentre = {"north"}, .slots = 2});
+        this->service.setReplicas(this->registry);
+    }
+
+    /// Sends requests 1, 2 and so on, each so long after the answer to the one before; returns the answers.
+    std::vector<UpstreamHttpResponse> callEach(int count, Duration between, std::string_view method)
+    {
+        std::vector<UpstreamHttpResponse> answers;
+        std::function<void()> next = [this, &answers, &next, count, between, method] {
+            this->start(requestBytes(std::to_string(answers.size() + 1), method),
+                        [this, &answers, &next, count, between](const HttpExchangeEnd &end) {
+                            answers.push_back(end.response);
+                            if (answers.size() == static_cast<std::size_t>(count)) {
+                                this->loop.stop();
+                            } else {
+                                this->loop.after(between, next);
+                            }
+                        });
+        };
+        this->loop.post(next);
+        this->run();
+        BOOST_REQUIRE(answers.size() == static_cast<std::size_t>(count));
+        return answers;
+    }
+};
+
+/// Where the second copy of the first answer comes.
+struct CopyCase
+{
+    Framing framing = Framing::Length;
+    Duration delay{0}; ///< After the first answer.
+    bool withId = true;
+    bool whole = true;
+};
+
+/// Runs three requests; the answer to the first comes twice. Each caller has its own answer, or none.
+void checkSecondCopy(const CopyCase &each)
+{
+    RawEntry entry;
+    entry.serve(
+        [&entry, &each](int connection, const std::string &id) {
+            const std::string body = "answer " + id;
+            const std::string answer = answerBytes(each.framing, id, body);
+            std::string copy = answerBytes(each.framing, each.withId ? id : "", body);
+            copy.resize(each.whole ? copy.size() : copy.size() / 2);
+            const Duration work = id == "1" ? Duration(0) : Duration(20ms);
+            entry.loop.after(work, [&entry, connection, answer] {
+                entry.replica->write(connection, answer);
+            });
+            if (id == "1") {
+                entry.loop.after(each.delay, [&entry, connection, copy] {
+                    entry.replica->write(connection, copy);
+                });
+            }
+        },
+        false);
+    const auto answers = entry.callEach(3, 5ms, "POST");
+    for (std::size_t number = 0; number < answers.size(); ++number) {
+        const std::string own = "answer " + std::to_string(number + 1);
+        BOOST_TEST_INFO("request " << number + 1 << ", copy after " << each.delay.count() << " us, with id "
+                                   << each.withId << ", whole " << each.whole);
+        BOOST_TEST((answers[number].status == 200 ? answers[number].body == own : answers[number].status >= 500));
+    }
+    // The last request is past all that the copy has spoilt.
+    BOOST_TEST(answers.back().status == 200);
+}
+
+/// Sends one request to a replica that breaks off; returns the status that the caller gets.
+int statusOfBroken(const std::string &bytes, bool reset, std::string_view method = "POST")
+{
+    RawEntry entry;
+    entry.serve(
+        [&entry, &bytes, reset](int connection, const std::string &) {
+            entry.replica->write(connection, bytes);
+            entry.loop.after(10ms, [&entry, connection, reset] {
+                entry.replica->end(connection, reset);
+            });
+        },
+        false);
+    return entry.callEach(1, 0ms, method).front().status;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(replica_faults)
+
+BOOST_AUTO_TEST_CASE(a_second_copy_of_an_answer_reaches_no_other_caller)
+{
+    for (const Framing framing : {Framing::Length, Framing::Chunks}) {
+        // With the answer, while the connection is idle, and while the next request is at work on it.
+        for (const Duration delay : {0ms, 3ms, 15ms}) {
+            for (const bool withId : {true, false}) {
+                for (const bool whole : {true, false}) {
+                    checkSecondCopy({.framing = framing, .delay = delay, .withId = withId, .whole = whole});
+                }
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_breaks_off_is_no_success)
+{
+    for (const Framing framing : {Framing::Length, Framing::Chunks, Framing::UntilClose}) {
+        const std::string whole = answerBytes(framing, "1", "12345678");
+        const std::size_t body = whole.find(endOfHeader) + endOfHeader.size();
+        for (const std::size_t size : {std::size_t{5}, body - 3, body, body + 4, whole.size() - 1}) {
+            for (const bool reset : {true, false}) {
+                // A body that lasts until the connection ends in order is whole wherever it ends.
+                if (framing == Framing::UntilClose && !reset && size >= body) {
+                    continue;
+                }
+                BOOST_TEST_INFO("framing " << static_cast<int>(framing) << ", " << size << " bytes, reset " << reset);
+                BOOST_TEST(statusOfBroken(whole.substr(0, size), reset) == 502);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_body_until_the_end_of_its_connection_is_whole_only_where_that_ends_in_order)
+{
+    const std::string whole = answerBytes(Framing::UntilClose, "1", "12345678");
+    BOOST_TEST(statusOfBroken(whole, false) == 200);
+    BOOST_TEST(statusOfBroken(whole, true) == 502);
+}
+
+BOOST_AUTO_TEST_CASE(bytes_that_are_no_answer_are_no_success)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: 1\r\nSign: s\r\n";
+    for (const std::string &bytes : {std::string("garbage\r\n\r\n"),
+                                     head + "Content-Length: many\r\n\r\n1234",
+                                     head + "Content-Length: 4\r\nContent-Length: 5\r\n\r\n12345",
+                                     head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n1234\r\n0\r\n\r\n",
+                                     head + "Transfer-Encoding: chunked\r\n\r\n4\r\n123456\r\n0\r\n\r\n"}) {
+        BOOST_TEST_INFO(bytes);
+        BOOST_TEST(statusOfBroken(bytes, false) == 502);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_without_a_body_ends_with_its_header)
+{
+    BOOST_TEST(statusOfBroken("HTTP/1.1 204 No Content\r\nId: 1\r\nSign: s\r\n\r\n", true) == 204);
+    BOOST_TEST(statusOfBroken("HTTP/1.1 200 OK\r\nId: 1\r\nSign: s\r\nContent-Length: 9\r\n\r\n", true, "HEAD") == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/hickoryshore/entry/request_service_test.cpp
+++ b/src/hickoryshore/entry/request_service_test.cpp
@@ -1,184 +1,31 @@
 // Requests through a RequestService to stand-ins of replicas, all on one event loop.
 #include "hickoryshore/entry/request_service.h"
 
-#include "hickoryshore/clock/clock.h"
-
-#include <boost/test/unit_test.hpp>
-
-#include <deque>
-#include <functional>
+#include "entry_fixture.h"
 
 using namespace hickoryshore;
+using namespace hickoryshore::test;
 using namespace std::chrono_literals;
 
 namespace {
 
-constexpr int firstPort = 23710;
-constexpr Duration longestTest = 10s;
-
-EntryDialect testDialect()
-{
-    return {.headers = {.requestId = "Id",
-                        .remainingMilliseconds = "Left",
-                        .expectedReplica = "For",
-                        .notExecuted = "Not-Run",
-                        .resultSignature = "Sign",
-                        .coveredSignatures = "Signs",
-                        .missingShards = "Missing",
-                        .replicaLoad = "Load",
-                        .replicaLeaving = "Leaves",
-                        .pauseAsked = "Pause"},
-            .recordBytes = 2,
-            .parseWaiting =
-                [](std::string_view) {
-                    return std::optional<int>();
-                },
-            .parseLeaving =
-                [](std::string_view text) {
-                    return text == "yes";
-                },
-            .parsePause = [](std::string_view text) -> std::optional<Duration> {
-                return text == "soon" ? std::optional<Duration>(400ms) : std::nullopt;
-            }};
-}
-
-/// A service with stand-ins of replicas; requests come from a client on the same loop.
-struct Entry
+/// An entry with one replica that answers with this status and without the request id.
+struct AnonymousReplica : Entry
 {
-    EventLoop loop{0};
-    EntrySettings settings{.dataCentre = {"north"},
-                           .region = {"n"},
-                           .regions = {{{"north"}, {"n"}}},
-                           .repeats = {.ratio = 0.2, .slack = 100}};
-    EntryDialect dialect = testDialect();
-    Metrics metrics;
-    int nextPort = firstPort;
-    std::deque<HttpListener> servers;
-    RequestService service{loop,
-                           settings,
-                           dialect,
-                           metrics,
-                           1,
-                           {.answer =
-                                [this](HttpCallId call, const HttpAnswer &answer) {
-                                    this->front.answer(call, answer);
-                                },
-                            .comeBackAfter =
-                                [] {
-                                    return Duration(300ms);
-                                },
-                            .onReplicaLeaving =
-                                [this](EndpointId endpoint) {
-                                    this->registry.markLeaving(monotonicNow(), endpoint);
-                                }}};
-    HttpListener front{loop,
-                       "127.0.0.1:23700",
-                       {},
-                       {.onRequest =
-                            [this](HttpCallId call, const HttpServerRequest &request) {
-                                this->service.onRequest(call, request);
-                            },
-                        .onClientLeft =
-                            [this](HttpCallId call) {
-                                this->service.onClientLeft(call);
-                            }}};
-    ReplicaRegistry registry;
-    std::shared_ptr<HttpConnections> client
-        = std::make_shared<HttpConnections>(loop, HttpConnectionSettings{.responses = {.keepHeaders = true}});
-
-    using Handler = std::function<void(HttpListener &, HttpCallId, const HttpServerRequest &)>;
-
-    /// Starts a stand-in of a replica of this service.
-    void addReplica(const std::string &serviceName, const Handler &handler)
-    {
-        const std::string address = "127.0.0.1:" + std::to_string(this->nextPort++);
-        const std::size_t number = this->servers.size();
-        this->servers.emplace_back(
-            this->loop,
-            address,
-            HttpListenerSettings{},
-            HttpListenerHooks{.onRequest = [this, number, handler](HttpCallId call, const HttpServerRequest &request) {
-                handler(this->servers[number], call, request);
-            }});
-        this->registry.put(monotonicNow(),
-                           "replica-" + std::to_string(number),
-                           {.service = {serviceName}, .address = address, .dataCentre = {"north"}, .slots = 2});
-        this->service.setReplicas(this->registry);
-    }
-
-    void addRoute(Route route)
+    explicit AnonymousReplica(int status)
     {
-        route.name = {"r"};
-        route.host = "h";
-        route.pathPrefix = "/";
-        route.timeout = 2s;
-        route.latencyObjective = 1s;
-        route.maximumAttempts = 2;
-        this->service.setRouteTable(
-            std::make_shared<const RouteTable>(RouteTable{.version = 1, .routes = {std::move(route)}}));
-    }
-
-    HttpExchangeId start(std::string_view text, std::function<void(const HttpExchangeEnd &)> onEnd)
-    {
-        HttpExchange exchange{.request = std::string(text), .timeout = 5s};
-        exchange.onEnd = std::move(onEnd);
-        return this->client->start("127.0.0.1:23700", std::move(exchange));
-    }
-
-    UpstreamHttpResponse call(std::string_view text)
-    {
-        return this->callInTurn(text, 1).front();
-    }
-
-    /// Makes the same call several times, each after the answer to the one before. Once for each test: the loop runs
-    /// only once.
-    std::vector<UpstreamHttpResponse> callInTurn(std::string_view text, std::size_t count)
-    {
-        std::vector<UpstreamHttpResponse> answers;
-        std::function<void()> next = [this, text, count, &answers, &next] {
-            this->start(text, [this, count, &answers, &next](const HttpExchangeEnd &end) {
-                if (!end.failure.has_value()) {
-                    answers.push_back(end.response);
-                }
-                if (!end.failure.has_value() && answers.size() < count) {
-                    next();
-                } else {
-                    this->loop.stop();
-                }
-            });
-        };
-        this->loop.post(next);
-        this->run();
-        BOOST_REQUIRE(answers.size() == count);
-        return answers;
+        this->addRoute({.idempotent = false, .split = {{{"s"}, 1.0}}});
+        this->addReplica("s", [status](HttpListener &listener, HttpCallId call, const HttpServerRequest &) {
+            listener.answer(call, {.status = status, .headers = {{"Sign", "a"}, {"Not-Run", "1"}}, .body = "x"});
+        });
     }
 
-    void run()
+    UpstreamHttpResponse answerToCaller()
     {
-        this->loop.after(longestTest, [this] {
-            this->loop.stop();
-        });
-        this->loop.run();
+        return this->call("POST /a HTTP/1.1\r\nHost: h\r\nId: 9\r\nContent-Length: 2\r\n\r\nxy");
     }
 };
 
-Entry::Handler answering(const std::string &signature, const std::string &body)
-{
-    return [signature, body](HttpListener &listener, HttpCallId call, const HttpServerRequest &request) {
-        listener.answer(
-            call,
-            {.headers = {{"Id", std::string(findHeader(request.headers, "Id").value_or(""))}, {"Sign", signature}},
-             .body = body});
-    };
-}
-
-Entry::Handler refusing()
-{
-    return [](HttpListener &listener, HttpCallId call, const HttpServerRequest &) {
-        listener.answer(call, {.status = 503, .headers = {{"Not-Run", "1"}}});
-    };
-}
-
 std::string headerOf(const UpstreamHttpResponse &response, std::string_view name)
 {
     return std::string(findHeader(response.headers, name).value_or("none"));
@@ -274,13 +121,15 @@
 {
     int leaving = 0;
     this->addRoute({.idempotent = false, .split = {{{"s"}, 1.0}}});
-    this->addReplica("s", [&leaving](HttpListener &listener, HttpCallId call, const HttpServerRequest &) {
+    this->addReplica("s", [&leaving](HttpListener &listener, HttpCallId call, const HttpServerRequest &request) {
         ++leaving;
-        listener.answer(call, {.status = 200, .headers = {{"Sign", "a"}, {"Leaves", "yes"}}, .body = "first"});
+        listener.answer(call,
+                        {.status = 200, .headers = {echo(request), {"Sign", "a"}, {"Leaves", "yes"}}, .body = "first"});
     });
-    this->addReplica("s", [&leaving](HttpListener &listener, HttpCallId call, const HttpServerRequest &) {
+    this->addReplica("s", [&leaving](HttpListener &listener, HttpCallId call, const HttpServerRequest &request) {
         ++leaving;
-        listener.answer(call, {.status = 200, .headers = {{"Sign", "a"}, {"Leaves", "yes"}}, .body = "second"});
+        listener.answer(
+            call, {.status = 200, .headers = {echo(request), {"Sign", "a"}, {"Leaves", "yes"}}, .body = "second"});
     });
     const auto answers = this->callInTurn(post, 5);
     BOOST_TEST(leaving == 2);
@@ -292,8 +141,8 @@
 BOOST_AUTO_TEST_CASE(a_replica_at_a_taken_over_address_does_not_mark_the_one_that_was_meant)
 {
     this->addRoute({.idempotent = false, .split = {{{"s"}, 1.0}}});
-    this->addReplica("s", [](HttpListener &listener, HttpCallId call, const HttpServerRequest &) {
-        listener.answer(call, {.status = 421, .headers = {{"Leaves", "yes"}}});
+    this->addReplica("s", [](HttpListener &listener, HttpCallId call, const HttpServerRequest &request) {
+        listener.answer(call, {.status = 421, .headers = {echo(request), {"Leaves", "yes"}}});
     });
     BOOST_TEST(this->call(post).status == 503);
     BOOST_TEST(!this->registry.replicas().at("replica-0").leaving);
@@ -302,8 +151,9 @@
 BOOST_AUTO_TEST_CASE(a_mark_that_means_nothing_is_not_taken)
 {
     this->addRoute({.idempotent = false, .split = {{{"s"}, 1.0}}});
-    this->addReplica("s", [](HttpListener &listener, HttpCallId call, const HttpServerRequest &) {
-        listener.answer(call, {.status = 200, .headers = {{"Sign", "a"}, {"Leaves", "no"}}, .body = "here"});
+    this->addReplica("s", [](HttpListener &listener, HttpCallId call, const HttpServerRequest &request) {
+        listener.answer(call,
+                        {.status = 200, .headers = {echo(request), {"Sign", "a"}, {"Leaves", "no"}}, .body = "here"});
     });
     for (const UpstreamHttpResponse &response : this->callInTurn(post, 3)) {
         BOOST_TEST(response.body == "here");
@@ -314,9 +164,9 @@
 {
     int refused = 0;
     this->addRoute({.idempotent = false, .split = {{{"s"}, 1.0}}});
-    this->addReplica("s", [&refused](HttpListener &listener, HttpCallId call, const HttpServerRequest &) {
+    this->addReplica("s", [&refused](HttpListener &listener, HttpCallId call, const HttpServerRequest &request) {
         ++refused;
-        listener.answer(call, {.status = 503, .headers = {{"Not-Run", "1"}, {"Pause", "soon"}}});
+        listener.answer(call, {.status = 503, .headers = {echo(request), {"Not-Run", "1"}, {"Pause", "soon"}}});
     });
     for (const UpstreamHttpResponse &response : this->callInTurn(post, 4)) {
         BOOST_TEST(response.status == 503);
@@ -330,9 +180,9 @@
 {
     int refused = 0;
     this->addRoute({.idempotent = false, .split = {{{"s"}, 1.0}}});
-    this->addReplica("s", [&refused](HttpListener &listener, HttpCallId call, const HttpServerRequest &) {
+    this->addReplica("s", [&refused](HttpListener &listener, HttpCallId call, const HttpServerRequest &request) {
         ++refused;
-        listener.answer(call, {.status = 503, .headers = {{"Not-Run", "1"}, {"Pause", "-7"}}});
+        listener.answer(call, {.status = 503, .headers = {echo(request), {"Not-Run", "1"}, {"Pause", "-7"}}});
     });
     for (const UpstreamHttpResponse &response : this->callInTurn(post, 2)) {
         BOOST_TEST(response.status == 503);
@@ -346,11 +196,11 @@
     int leaving = 0;
     int done = 0;
     this->addRoute({.idempotent = false, .split = {{{"s"}, 1.0}}});
-    this->addReplica("s", [this, &leaving](HttpListener &listener, HttpCallId call, const HttpServerRequest &) {
+    this->addReplica("s", [this, &leaving](HttpListener &listener, HttpCallId call, const HttpServerRequest &request) {
         ++leaving;
         this->addReplica("s", answering("b", "other"));
-        this->loop.after(100ms, [&listener, call] {
-            listener.answer(call, {.status = 200, .headers = {{"Sign", "a"}, {"Leaves", "yes"}}, .body = "first"});
+        this->loop.after(100ms, [&listener, call, id = echo(request)] {
+            listener.answer(call, {.status = 200, .headers = {id, {"Sign", "a"}, {"Leaves", "yes"}}, .body = "first"});
         });
     });
     this->service.setShare(0.001);
@@ -380,6 +230,18 @@
     BOOST_TEST(leaving == 1);
 }
 
+BOOST_AUTO_TEST_CASE(an_encoded_answer_is_not_passed_on)
+{
+    this->addRoute({.idempotent = false, .split = {{{"s"}, 1.0}}});
+    this->addReplica("s", [](HttpListener &listener, HttpCallId call, const HttpServerRequest &request) {
+        listener.answer(call,
+                        {.headers = {echo(request), {"Sign", "a"}, {"Content-Encoding", "gzip"}}, .body = "packed"});
+    });
+    const UpstreamHttpResponse response = this->call(post);
+    BOOST_TEST(response.status == 502);
+    BOOST_TEST(response.body.empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_caller_that_leaves_stops_the_replica)
 {
     bool replicaSawLeave = false;
@@ -410,3 +272,12 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_CASE(an_answer_without_the_request_id_is_no_success_and_no_promise)
+{
+    // Any of them could be the late copy of an answer to an earlier request.
+    for (const int status : {200, 503, 421}) {
+        AnonymousReplica replica(status);
+        BOOST_TEST(replica.answerToCaller().status == 502);
+    }
+}
--- a/src/hickoryshore/entry/state_service.cpp
+++ b/src/hickoryshore/entry/state_service.cpp
@@ -102,7 +102,10 @@
 {
     this->calls.list(this->prefixes[which].name, call.after, [this, which](PageResult result) {
         PrefixFollower &follower = this->prefixes[which].follower;
-        if (auto *page = std::get_if<StorePage>(&result)) {
+        auto *page = std::get_if<StorePage>(&result);
+        if (page != nullptr && !this->concerns(which, page->items)) {
+            follower.onFailure(monotonicNow(), StoreFailure::Unavailable, this->actions);
+        } else if (page != nullptr) {
             follower.onPage(monotonicNow(), std::move(*page), this->actions);
         } else {
             follower.onFailure(monotonicNow(), std::get<StoreFailure>(result), this->actions);
@@ -111,11 +114,31 @@
     });
 }
 
+/// Whether an answer has only keys of the prefix that was asked for: it may be the late copy of one to another call.
+template<typename Key>
+bool StateService::concerns(Followed which, const std::vector<Key> &keys) const
+{
+    const std::string &prefix = this->prefixes[which].name;
+    const auto foreign = std::ranges::find_if(keys, [&prefix](const Key &key) {
+        return !key.key.starts_with(prefix);
+    });
+    if (foreign != keys.end()) {
+        writeLog({.level = LogLevel::Error,
+                  .slice = slice,
+                  .event = "foreignKeys",
+                  .fields = {{"prefix", prefix}, {"key", foreign->key}}});
+    }
+    return foreign == keys.end();
+}
+
 void StateService::watch(Followed which, const WatchKeys &call)
 {
     this->calls.watch(this->prefixes[which].name, call.after, watchWait, [this, which](ChangesResult result) {
         PrefixFollower &follower = this->prefixes[which].follower;
-        if (auto *changes = std::get_if<StoreChanges>(&result)) {
+        auto *changes = std::get_if<StoreChanges>(&result);
+        if (changes != nullptr && !this->concerns(which, changes->changes)) {
+            follower.onFailure(monotonicNow(), StoreFailure::Unavailable, this->actions);
+        } else if (changes != nullptr) {
             follower.onChanges(monotonicNow(), std::move(*changes), this->actions);
         } else {
             follower.onFailure(monotonicNow(), std::get<StoreFailure>(result), this->actions);
@@ -350,7 +373,7 @@
                          {"prefix", this->prefixes[which].name},
                          {"asOf", std::to_string(page == nullptr ? 0 : page->asOf)},
                          {"before", std::to_string(this->prefixes[which].follower.asOf())}}});
-    if (page != nullptr) {
+    if (page != nullptr && this->concerns(which, page->items)) {
         this->prefixes[which].follower.onPeerState(monotonicNow(), std::move(*page), this->actions);
         this->perform(which);
     }
--- a/src/hickoryshore/httpserver/http_listener.cpp
+++ b/src/hickoryshore/httpserver/http_listener.cpp
@@ -3,6 +3,7 @@
 #include "hickoryshore/clock/clock.h"
 #include "hickoryshore/http/http_client.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <stdexcept>
 #include <system_error>
@@ -361,4 +362,13 @@
     return this->open.size();
 }
 
+std::size_t HttpListener::busyConnections() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(this->open, [](const auto &entry) {
+        const Connection &connection = entry.second;
+        const bool reading = connection.inRequest && !connection.closing;
+        return reading || connection.call.value != 0 || connection.sent < connection.outgoing.size();
+    }));
+}
+
 } // namespace hickoryshore
--- a/src/hickoryshore/httpserver/http_listener_test.cpp
+++ b/src/hickoryshore/httpserver/http_listener_test.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <atomic>
+#include <future>
 #include <string>
 #include <thread>
 
@@ -19,6 +20,7 @@
 namespace {
 
 constexpr int longestReadMs = 5000;
+constexpr std::size_t longAnswer = std::size_t{16} * 1024 * 1024;
 
 /// Returns a port of the loopback address that was free a moment ago.
 int freePort()
@@ -103,7 +105,9 @@
                    {.limits = {.headerBytes = 1000, .bodyBytes = 1000}, .requestTimeout = 300ms, .idleTimeout = 1s},
                    {.onRequest =
                         [this](HttpCallId call, const HttpServerRequest &request) {
-                            if (request.target != "/wait") {
+                            if (request.target == "/long") {
+                                this->listener.answer(call, {.body = std::string(longAnswer, 'x')});
+                            } else if (request.target != "/wait") {
                                 this->listener.answer(call, {.body = request.target + request.body + "|"});
                             }
                         },
@@ -120,6 +124,21 @@
           })
     { }
 
+    /// Waits until so many connections are busy, for at most 5 s.
+    void awaitBusy(std::size_t wanted)
+    {
+        std::size_t busy = wanted + 1;
+        for (int tries = 0; tries < 500 && busy != wanted; ++tries) {
+            std::promise<std::size_t> counted;
+            this->loop.post([this, &counted] {
+                counted.set_value(this->listener.busyConnections());
+            });
+            busy = counted.get_future().get();
+            std::this_thread::sleep_for(10ms);
+        }
+        BOOST_TEST(busy == wanted);
+    }
+
     /// Waits until a client has left, for at most 5 s.
     void awaitLeft() const
     {
@@ -200,6 +219,27 @@
     BOOST_TEST(this->refused == 5);
 }
 
+BOOST_AUTO_TEST_CASE(a_connection_is_busy_until_its_answer_has_been_sent_whole)
+{
+    // The sockets hold less than this answer: a process that ended now would cut it off.
+    Client client(this->port);
+    client.send("GET /long HTTP/1.1\r\nConnection: close\r\n\r\n");
+    this->awaitBusy(1);
+    BOOST_TEST(client.readAll().ends_with(std::string(16, 'x')));
+    this->awaitBusy(0);
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_is_busy_while_a_request_is_being_read)
+{
+    Client idle(this->port);
+    Client client(this->port);
+    client.send("GET /a HTTP/1.1\r\nHo");
+    this->awaitBusy(1);
+    client.send("st: h\r\n\r\n");
+    client.readUntil("/a|");
+    this->awaitBusy(0);
+}
+
 BOOST_AUTO_TEST_CASE(an_idle_connection_is_closed_after_its_time)
 {
     Client client(this->port);
--- a/src/hickoryshore/load/load_run.cpp
+++ b/src/hickoryshore/load/load_run.cpp
@@ -44,9 +44,7 @@
     {
         for (std::size_t number = this->run.next++; number < this->run.queries.size(); number = this->run.next++) {
             const PlannedQuery &query = this->run.queries[number];
-            std::this_thread::sleep_until(
-                std::chrono::steady_clock::time_point(std::chrono::duration_cast<std::chrono::steady_clock::duration>(
-                    (this->run.start + query.intended).time_since_epoch())));
+            std::this_thread::sleep_for(this->run.start + query.intended - monotonicNow());
             this->send(query);
         }
     }
