Spend more of the budget of extra attempts, and hedge while it is of use

Change: 0.4 of the slack may be spent at once and 0.3 comes back within each window; both, and a fleet that starts anew within a window, stay within the whole (test). A hedge is sent no later than a usual reply of the farthest replicas before the soft answer time, but not before 1.4 medians.

--- a/include/hickoryshore/dispatch/endpoint_table.h
+++ b/include/hickoryshore/dispatch/endpoint_table.h
@@ -43,6 +43,7 @@
 {
     double ratio = 0.2; ///< Extra attempts for each request for a service.
     double slack = 0.0; ///< Further ones in any window, by all VMs together.
+    Duration window{std::chrono::seconds(10)};
 };
 
 /// What an attempt came to.
@@ -96,11 +97,11 @@
     std::optional<Duration> untilAccepted(Instant now, const ServiceId &service) const;
 
     /// Counts a caller's request for the service: it earns a part of an extra attempt.
-    void countRequest(const ServiceId &service);
+    void countRequest(Instant now, const ServiceId &service);
 
     /// Takes an extra attempt out of the service's budget; returns false where there is none left. Hedges leave a part
     /// for retries.
-    bool takeRepeat(const ServiceId &service, bool isHedge);
+    bool takeRepeat(Instant now, const ServiceId &service, bool isHedge);
 
     void countSent(Instant now, EndpointId endpoint);
 
@@ -145,9 +146,11 @@
     {
         std::vector<EndpointId> endpoints;
         TokenBudget repeats;
+        Instant refilledAt;
     };
 
     Service &serviceOf(const ServiceId &service);
+    void refill(Instant now, Service &service) const;
     static bool accepts(const Endpoint &endpoint, Instant now);
     Instant endOfRefusal(Instant now, Duration asked);
     std::optional<EndpointChange> takeNotice(Instant now, Endpoint &endpoint, const AttemptEnd &end);
--- a/include/hickoryshore/dispatch/route_latency.h
+++ b/include/hickoryshore/dispatch/route_latency.h
@@ -31,6 +31,13 @@
     /// the median, so that a few slow replicas do not delay every hedge.
     Duration hedgeDelay(Distance distance) const;
 
+    /// The age from which a sub-request may be hedged at all: before it, most would be.
+    Duration earliestHedge(Distance distance) const;
+
+    /// Within this time a reply comes as a rule, wherever the replica is: a hedge that is sent later before the soft
+    /// answer time is of no use to it.
+    Duration likelyLongest() const;
+
 private:
     struct Side
     {
--- a/include/hickoryshore/shard/token_budget.h
+++ b/include/hickoryshore/shard/token_budget.h
@@ -17,6 +17,9 @@
 
     void earn();
 
+    /// Adds tokens that no sub-request earned, up to the reserve.
+    void refill(double added);
+
     /// Takes one token; returns false where less than one would be left besides the part of the reserve, from 0 to 1,
     /// that is kept for more urgent uses.
     bool trySpend(double keptPart = 0.0);
--- a/src/hickoryshore/dispatch/endpoint_table.cpp
+++ b/src/hickoryshore/dispatch/endpoint_table.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace hickoryshore {
 
@@ -41,8 +42,10 @@
 constexpr Duration longestRefusalSpread = 500ms;
 /// Costs are compared with this much noise, so that the VMs do not all choose the same of two equal replicas.
 constexpr double costNoise = 0.1;
-/// Parts of the fleet's budget that are handed out: the rest covers VMs that start or end within a window.
-constexpr double sharedSlack = 0.5;
+/// Parts of the fleet's budget that are handed out: of the slack, what may be spent at once and what comes back within
+/// a window, and of the ratio. What is left covers VMs that start anew within a window, with another part to spend.
+constexpr double slackAtOnce = 0.4;
+constexpr double slackPerWindow = 0.3;
 constexpr double sharedRatio = 0.85;
 /// Smallest reserve of which hedges leave one attempt for retries.
 constexpr double reserveWithKept = 3.0;
@@ -55,7 +58,7 @@
 
 double EndpointTable::repeatReserve() const
 {
-    return sharedSlack * this->budget.slack * this->budgetShare;
+    return slackAtOnce * this->budget.slack * this->budgetShare;
 }
 
 double EndpointTable::repeatEarning() const
@@ -71,7 +74,9 @@
     }
     return this->services
         .emplace(service,
-                 Service{.endpoints = {}, .repeats = TokenBudget(this->repeatEarning(), this->repeatReserve())})
+                 Service{.endpoints = {},
+                         .repeats = TokenBudget(this->repeatEarning(), this->repeatReserve()),
+                         .refilledAt = {}})
         .first->second;
 }
 
@@ -212,15 +217,26 @@
     return best;
 }
 
-void EndpointTable::countRequest(const ServiceId &service)
+void EndpointTable::countRequest(Instant now, const ServiceId &id)
 {
-    this->serviceOf(service).repeats.earn();
+    Service &service = this->serviceOf(id);
+    this->refill(now, service);
+    service.repeats.earn();
 }
 
-bool EndpointTable::takeRepeat(const ServiceId &service, bool isHedge)
+void EndpointTable::refill(Instant now, Service &service) const
 {
+    const Duration passed = std::min(now - std::exchange(service.refilledAt, now), this->budget.window);
+    const double windows = static_cast<double>(passed.count()) / static_cast<double>(this->budget.window.count());
+    service.repeats.refill(windows * slackPerWindow * this->budget.slack * this->budgetShare);
+}
+
+bool EndpointTable::takeRepeat(Instant now, const ServiceId &id, bool isHedge)
+{
+    Service &service = this->serviceOf(id);
+    this->refill(now, service);
     const double reserve = this->repeatReserve();
-    return this->serviceOf(service).repeats.trySpend(isHedge && reserve >= reserveWithKept ? 1.0 / reserve : 0.0);
+    return service.repeats.trySpend(isHedge && reserve >= reserveWithKept ? 1.0 / reserve : 0.0);
 }
 
 void EndpointTable::countSent(Instant now, EndpointId id)
--- a/src/hickoryshore/dispatch/endpoint_table_test.cpp
+++ b/src/hickoryshore/dispatch/endpoint_table_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <memory>
 #include <vector>
 
 using namespace hickoryshore;
@@ -238,8 +239,8 @@
         EndpointTable each(static_cast<std::uint64_t>(vm) + 1);
         each.setRepeatBudget({.ratio = 0.2, .slack = 100}, 0.1);
         for (int request = 0; request < 100; ++request) {
-            each.countRequest(service);
-            while (each.takeRepeat(service, request % 2 == 0)) {
+            each.countRequest(start, service);
+            while (each.takeRepeat(start, service, request % 2 == 0)) {
                 ++taken;
             }
         }
@@ -248,4 +249,38 @@
     BOOST_TEST(taken >= 150);
 }
 
+BOOST_AUTO_TEST_CASE(extra_attempts_stay_within_the_budget_in_each_window_though_all_vms_start_anew)
+{
+    // Ten VMs that take all they may for 30 s, at 20 requests a second together, and all start anew after 12 s.
+    std::vector<Instant> taken;
+    for (int vm = 0; vm < 10; ++vm) {
+        auto table = std::make_unique<EndpointTable>(static_cast<std::uint64_t>(vm) + 1);
+        table->setRepeatBudget({.ratio = 0.2, .slack = 100}, 0.1);
+        for (int request = 0; request < 60; ++request) {
+            const Instant now = start + request * 500ms;
+            if (request == 24) {
+                table = std::make_unique<EndpointTable>(static_cast<std::uint64_t>(vm) + 100);
+                table->setRepeatBudget({.ratio = 0.2, .slack = 100}, 0.1);
+            }
+            table->countRequest(now, service);
+            while (table->takeRepeat(now, service, true)) {
+                taken.push_back(now);
+            }
+        }
+    }
+    std::ranges::sort(taken);
+    std::size_t most = 0;
+    for (auto from = taken.begin(); from != taken.end(); ++from) {
+        const auto until = std::ranges::upper_bound(taken, *from + 10s);
+        most = std::max(most, static_cast<std::size_t>(until - from));
+    }
+    BOOST_TEST(most <= 0.2 * 200 + 100);
+    // In each window the slack that comes back is of use: more than the requests alone earn.
+    BOOST_TEST(std::ranges::count_if(taken,
+                                     [](Instant at) {
+                                         return at > start + 20s;
+                                     })
+               >= 50);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/hickoryshore/dispatch/request_run.cpp
+++ b/src/hickoryshore/dispatch/request_run.cpp
@@ -47,7 +47,7 @@
 void RequestRun::start(Instant now, std::vector<RunAction> &actions)
 {
     for (std::size_t number = 0; number < this->parts.size(); ++number) {
-        this->table->countRequest(this->settings.services[number]);
+        this->table->countRequest(now, this->settings.services[number]);
         if (!this->send(now, number, DirectAttempt::First, actions)) {
             const bool allRefuse = this->table->untilAccepted(now, this->settings.services[number]).has_value();
             this->parts[number].last = allRefuse ? ResultCode::UpstreamShed : ResultCode::NoReplica;
@@ -103,7 +103,7 @@
         return false;
     }
     const bool isHedge = reason == DirectAttempt::Hedge;
-    if (part.arrived && !this->table->takeRepeat(this->settings.services[number], isHedge)) {
+    if (part.arrived && !this->table->takeRepeat(now, this->settings.services[number], isHedge)) {
         return false;
     }
     const AttemptId id{++*this->lastAttempt};
@@ -126,9 +126,13 @@
 void RequestRun::scheduleHedge(Part &part, Instant now, EndpointId endpoint)
 {
     part.hedgeAt.reset();
-    if (this->settings.idempotent && this->mayRunAgain(part) && part.count <= mostHedges) {
-        part.hedgeAt = now + this->latency->hedgeDelay(this->table->distanceOf(endpoint));
+    if (!this->settings.idempotent || !this->mayRunAgain(part) || part.count > mostHedges) {
+        return;
     }
+    const Distance distance = this->table->distanceOf(endpoint);
+    const Instant usual = now + this->latency->hedgeDelay(distance);
+    const Instant lastUseful = this->settings.answerBy - this->latency->likelyLongest();
+    part.hedgeAt = std::max(std::min(usual, lastUseful), std::min(usual, now + this->latency->earliestHedge(distance)));
 }
 
 void RequestRun::hedge(Instant now, std::size_t number, std::vector<RunAction> &actions)
--- a/src/hickoryshore/dispatch/request_run_test.cpp
+++ b/src/hickoryshore/dispatch/request_run_test.cpp
@@ -102,6 +102,27 @@
     BOOST_TEST((dropped.front().attempt == first.front().attempt && !dropped.front().callerLeft));
 }
 
+BOOST_AUTO_TEST_CASE(a_hedge_to_another_region_is_sent_while_its_reply_can_still_count)
+{
+    // Replies of the other region take 24 ms as a rule and often twice as long: a hedge after the usual delay would
+    // come after the soft answer time of 75 ms.
+    this->serve(1);
+    for (int sample = 0; sample < 200; ++sample) {
+        this->latency.add(Distance::SameRegion, 8ms);
+        this->latency.add(Distance::OtherRegion, sample % 5 == 0 ? 60ms : 24ms);
+    }
+    const std::vector<DirectReplica> far
+        = {{.endpoint = {1}, .service = {"0"}, .distance = Distance::OtherRegion, .slots = 2},
+           {.endpoint = {2}, .service = {"0"}, .distance = Distance::OtherRegion, .slots = 2}};
+    this->table.setReplicas(start, far);
+    BOOST_TEST((this->latency.hedgeDelay(Distance::OtherRegion) >= 55ms));
+    RequestRun run = this->run(1, mergedRun);
+    run.start(start, this->actions);
+    const Instant hedge = run.nextTimer().value();
+    BOOST_TEST((hedge <= start + 75ms - 24ms));
+    BOOST_TEST((hedge >= start + 24ms));
+}
+
 BOOST_AUTO_TEST_CASE(a_dead_shard_leaves_an_honest_answer_in_part_at_the_soft_answer_time)
 {
     this->serve(4);
--- a/src/hickoryshore/dispatch/route_latency.cpp
+++ b/src/hickoryshore/dispatch/route_latency.cpp
@@ -17,6 +17,8 @@
 /// Bounds of the hedge delay as multiples of the median.
 constexpr double leastHedgeRatio = 1.4;
 constexpr double mostHedgeRatio = 2.5;
+/// A reply that takes so many medians is later than most.
+constexpr double likelyRatio = 1.25;
 /// Samples after which the percentiles are computed anew.
 constexpr int refreshInterval = 64;
 /// Below this a hedge would only cover the jitter of the network and of this VM's processor.
@@ -70,6 +72,16 @@
     return this->side(distance).typical;
 }
 
+Duration RouteLatency::earliestHedge(Distance distance) const
+{
+    return scaled(this->typical(distance), leastHedgeRatio);
+}
+
+Duration RouteLatency::likelyLongest() const
+{
+    return scaled(std::max(this->typical(Distance::SameRegion), this->typical(Distance::OtherRegion)), likelyRatio);
+}
+
 Duration RouteLatency::hedgeDelay(Distance distance) const
 {
     return this->side(distance).hedgeDelay;
--- a/src/hickoryshore/shard/token_budget.cpp
+++ b/src/hickoryshore/shard/token_budget.cpp
@@ -10,7 +10,12 @@
 
 void TokenBudget::earn()
 {
-    this->tokens = std::min(this->tokens + this->earnedPerSubRequest, this->reserve);
+    this->refill(this->earnedPerSubRequest);
+}
+
+void TokenBudget::refill(double added)
+{
+    this->tokens = std::min(this->tokens + added, this->reserve);
 }
 
 bool TokenBudget::canSpend(double keptPart) const
