--- a/src/hickoryshore/dispatch/request_run_test.cpp
+++ b/src/hickoryshore/dispatch/request_run_test.cpp
@@ -292,6 +292,19 @@
     BOOST_TEST(!run.nextTimer().has_value());
 }
 
+BOOST_AUTO_TEST_CASE(a_vm_that_stood_still_sends_nothing_after_the_deadline)
+{
+    this->serve(4);
+    RequestRun run = this->run(4, mergedRun);
+    run.start(start, this->actions);
+    this->actions.clear();
+    run.onTimer(start + 5s, this->actions);
+    const auto actions = this->actions;
+    BOOST_TEST(this->take<SendAttempt>().empty());
+    this->actions = actions;
+    BOOST_TEST((this->take<FinishRun>().at(0).code == ResultCode::DeadlineExceeded));
+}
+
 BOOST_AUTO_TEST_CASE(the_deadline_ends_the_wait)
 {
     this->serve(1);
