--- a/src/hickoryshore/entry/request_service.cpp
+++ b/src/hickoryshore/entry/request_service.cpp
@@ -18,15 +18,10 @@
 constexpr Duration callerTravel = 15ms;
 /// Kept back from the latency objective: the ways of the request and the answer, opening the connection, and merging.
 constexpr Duration objectiveMargin = 25ms;
-/// An attempt that nobody waits for any more may end by itself until it is this old, so that its connection and its
-/// latency are of use.
-constexpr Duration strayLimit = 400ms;
 /// A caller that says it waits for longer is taken to wait so long.
 constexpr Duration longestWait = 1h;
 /// Of the connections that a replica accepts, the part that is divided between the VMs.
 constexpr double sharedConnections = 0.85;
-/// Room for the header fields that this VM adds.
-constexpr std::size_t addedHeaderBytes = 128;
 constexpr std::string_view slice = "entry";
 
 Duration parseMilliseconds(std::optional<std::string_view> text, Duration otherwise)
@@ -39,28 +34,6 @@
     return std::chrono::milliseconds(std::clamp<std::int64_t>(milliseconds, 0, longestWait / 1ms));
 }
 
-std::string milliseconds(Duration duration)
-{
-    return std::to_string(duration / 1ms);
-}
-
-/// How a changed belief about a replica is named in the log.
-std::string_view eventOf(EndpointState state)
-{
-    switch (state) {
-    case EndpointState::InUse:
-        return "replicaBack";
-    case EndpointState::Refusing:
-        return "replicaRefuses";
-    case EndpointState::Leaving:
-        return "replicaLeaves";
-    case EndpointState::Ejected:
-    case EndpointState::Misdirected:
-        break;
-    }
-    return "replicaEjected";
-}
-
 } // namespace
 
 RequestService::RequestService(EventLoop &loop,
@@ -284,178 +257,6 @@
     }
 }
 
-/// The request as it goes to a replica now; nothing where its time is over, or the replica takes none any more.
-std::optional<std::string> RequestService::requestBytes(const Forwarding &forwarding,
-                                                        EndpointId endpoint,
-                                                        std::string_view replica,
-                                                        Instant deadline) const
-{
-    const Instant now = monotonicNow();
-    const Duration remaining = deadline - now;
-    if (remaining < 1ms || this->table.refusalOf(now, endpoint).has_value()) {
-        return std::nullopt;
-    }
-    std::string bytes;
-    bytes.reserve(forwarding.head.size() + forwarding.tail.size() + addedHeaderBytes);
-    bytes = forwarding.head;
-    appendHeader(bytes, this->dialect.headers.remainingMilliseconds, milliseconds(remaining));
-    appendHeader(bytes, this->dialect.headers.expectedReplica, replica);
-    bytes += forwarding.tail;
-    return bytes;
-}
-
-void RequestService::send(HttpCallId call, ActiveRequest &request, const SendAttempt &action)
-{
-    const Replica &replica = this->replicas.at(action.endpoint);
-    const Forwarding &forwarding = *request.forwarding;
-    HttpExchange exchange;
-    exchange.makeRequest = [this,
-                            shared = request.forwarding,
-                            endpoint = action.endpoint,
-                            name = replica.name,
-                            deadline = monotonicNow() + action.remaining] {
-        return this->requestBytes(*shared, endpoint, name, deadline);
-    };
-    exchange.timeout = action.remaining + strayLimit;
-    exchange.proven = action.provenConnection;
-    exchange.waits = true;
-    exchange.bodiless = forwarding.isHead;
-    exchange.skipsForeign = true;
-    exchange.belongs = [this, shared = request.forwarding](const UpstreamHttpResponse &response) {
-        const auto echoed = findHeader(response.headers, this->dialect.headers.requestId);
-        return !echoed.has_value() || *echoed == shared->requestId;
-    };
-    exchange.onEnd = [this, attempt = action.attempt](HttpExchangeEnd end) {
-        this->onExchangeEnd(attempt, std::move(end));
-    };
-    ++request.attempts;
-    this->metrics.count(Count::Attempts);
-    if (action.reason == DirectAttempt::Hedge) {
-        ++request.hedges;
-        this->metrics.count(Count::Hedges);
-    } else if (action.reason != DirectAttempt::First) {
-        this->metrics.countRetry(action.cause);
-    }
-    if (action.reason != DirectAttempt::First) {
-        writeLog(
-            {.level = LogLevel::Debug,
-             .slice = slice,
-             .event = action.reason == DirectAttempt::Hedge ? "hedged" : "retried",
-             .requestId = forwarding.requestId,
-             .resultCode = action.cause,
-             .fields
-             = {{"service", replica.service.value}, {"replica", replica.name}, {"ageMs", milliseconds(action.age)}}});
-    }
-    this->attempts[action.attempt] = {.call = call,
-                                      .endpoint = action.endpoint,
-                                      .latency = request.latency,
-                                      .exchange = this->upstream->start(replica.address, std::move(exchange)),
-                                      .sentAt = monotonicNow(),
-                                      .merged = !request.route->shards.empty()};
-}
-
-void RequestService::drop(const DropAttempt &action)
-{
-    const auto found = this->attempts.find(action.attempt);
-    if (found == this->attempts.end()) {
-        return;
-    }
-    found->second.call = {};
-    if (action.callerLeft) {
-        this->metrics.count(Count::Cancellations);
-        this->upstream->abort(found->second.exchange);
-        this->table.countDropped(monotonicNow(), found->second.endpoint, false);
-        this->attempts.erase(found);
-        return;
-    }
-    const Duration left = found->second.sentAt + strayLimit - monotonicNow();
-    this->loop.after(std::max(left, Duration(0)), [this, attempt = action.attempt] {
-        this->giveUpStray(attempt);
-    });
-}
-
-void RequestService::giveUpStray(AttemptId attempt)
-{
-    const auto found = this->attempts.find(attempt);
-    if (found == this->attempts.end()) {
-        return;
-    }
-    const ActiveAttempt stray = found->second;
-    this->attempts.erase(found);
-    this->metrics.count(Count::Cancellations);
-    this->upstream->abort(stray.exchange);
-    this->table.countDropped(monotonicNow(), stray.endpoint, true);
-    const auto replica = this->replicas.find(stray.endpoint);
-    if (replica != this->replicas.end()) {
-        this->upstream->closeSuspects(replica->second.address, stray.sentAt);
-    }
-}
-
-void RequestService::onExchangeEnd(AttemptId attempt, HttpExchangeEnd end)
-{
-    const auto found = this->attempts.find(attempt);
-    if (found == this->attempts.end()) {
-        return;
-    }
-    const Instant now = monotonicNow();
-    const ActiveAttempt ended = found->second;
-    this->attempts.erase(found);
-    const AttemptEnd result = this->classify(ended, end, now);
-    const auto change = this->table.countEnd(now, ended.endpoint, *ended.latency, result);
-    if (change.has_value()) {
-        this->noteChange(*change, result.code);
-    }
-    if (result.code == ResultCode::Ok) {
-        this->metrics.observe(Latency::Upstream, result.latency);
-        this->observeService(ended.endpoint, result.latency);
-        ended.latency->add(this->table.distanceOf(ended.endpoint), result.latency);
-    }
-    const auto waiting = this->active.find(ended.call);
-    if (waiting == this->active.end()) {
-        this->metrics.count(Count::LateReplies);
-        return;
-    }
-    const bool isReply = !end.failure.has_value();
-    if (isReply) {
-        waiting->second.replies.emplace(attempt, std::move(end.response));
-    }
-    if (result.code != ResultCode::Ok) {
-        waiting->second.lastFailure = result.code;
-    }
-    std::vector<RunAction> actions;
-    waiting->second.run->onAttemptEnd(now, attempt, result, isReply, actions);
-    this->perform(ended.call, actions);
-}
-
-/// Logs a changed belief about a replica. What waits for a connection to one that takes nothing more goes elsewhere.
-void RequestService::noteChange(const EndpointChange &change, ResultCode code)
-{
-    const auto replica = this->replicas.find(change.endpoint);
-    const bool listed = replica != this->replicas.end();
-    writeLog({.level = LogLevel::Warn,
-              .slice = slice,
-              .event = eventOf(change.state),
-              .resultCode = code,
-              .fields = {{"replica", listed ? replica->second.name : ""},
-                         {"failures", std::to_string(change.failures)},
-                         {"lastsMs", milliseconds(change.lasts)}}});
-    const bool takesNothing = change.state == EndpointState::Leaving || change.state == EndpointState::Refusing;
-    if (listed && takesNothing) {
-        this->upstream->withdrawWaiting(replica->second.address);
-    }
-    if (change.state == EndpointState::Leaving && this->hooks.onReplicaLeaving) {
-        this->hooks.onReplicaLeaving(change.endpoint);
-    }
-}
-
-void RequestService::observeService(EndpointId endpoint, Duration latency)
-{
-    const auto replica = this->replicas.find(endpoint);
-    if (replica != this->replicas.end()) {
-        this->serviceLatencies.observe(replica->second.service.value, latency);
-    }
-}
-
 void RequestService::armTimer(HttpCallId call, ActiveRequest &request)
 {
     const auto next = request.run->nextTimer();
@@ -501,7 +302,7 @@
     writeLog({.slice = slice,
               .event = "callerLeft",
               .requestId = found->second.forwarding->requestId,
-              .fields = {{"ageMs", milliseconds(monotonicNow() - found->second.arrival)},
+              .fields = {{"ageMs", std::to_string((monotonicNow() - found->second.arrival) / 1ms)},
                          {"attempts", std::to_string(found->second.attempts)}}});
     for (const RunAction &action : actions) {
         this->drop(std::get<DropAttempt>(action));
