--- a/tools/regression.sh
+++ b/tools/regression.sh
@@ -20,12 +20,13 @@
 
 # Prints the VMs of the deployment, the gate, the score and the mean worth of the days with trouble, from a score's log.
 summary() {
-    awk '/^score on/ { score = $NF }
+    awk '/^score on/ { sub(/.*\): /, ""); score = $1 + 0 }
          /^GATE/ { gate = $2 }
+         $2 !~ /^[0-9]+\/[0-9]+$/ { next }
          /^(quiet|trouble|scale)-[0-9]/ { split($2, own, "/"); vms = own[1] }
          /^(trouble|scale)-[0-9]/ { sum += $4; ++count; if (worst == "" || $4 < worst) { worst = $4; day = $1 } }
          END { if (gate == "") { gate = "not-run" }
-               printf "%s %s %s %.3f %s:%s\n", vms, gate, score, count ? sum / count : 0, day, worst }' "$1"
+               printf "%s %s %.3f %.3f %s:%s\n", vms, gate, score, count ? sum / count : 0, day, worst }' "$1"
 }
 
 printf '%-36s %-8s %-6s %-16s %-18s %s\n' deployment gate score 'worth, trouble' 'worst day' hunt
