Keep replicas whose entries vanish together: they have lapsed with the store

The store had stood still, and the leases of their writers had run out; 14 of 20 VMs had a watch waiting all the while and so knew of no outage. They dropped all replicas for 0.3 to 1.2 s: 38 merged answers with too little coverage and 10 refusals.

Ruled out: a reshard (no configuration came between 14 and 26 s) and replicas that left (none said so, and all came back).

Change: where at least four keys and a quarter of all vanish in one batch, or are lacking in a new listing, they count as lapsed, and the registry keeps the replicas for the 2.5 s within which entries of live replicas come back. many_keys_that_vanish_at_once_have_lapsed_with_the_store and a_listing_that_lacks_many_keys_was_made_while_they_had_lapsed failed before.

--- a/src/hickoryshore/statesync/prefix_follower.cpp
+++ b/src/hickoryshore/statesync/prefix_follower.cpp
@@ -15,6 +15,16 @@
 constexpr int mostDoublings = 3;
 /// Changes that are kept for peers; a peer that is further behind lists everything.
 constexpr std::size_t loggedChanges = 512;
+/// So many keys that vanish at once, and at least a quarter of all, have lapsed with the store rather than been
+/// removed: writers leave one after the other, but a store that stood still ends all leases together. A watch that
+/// waits meanwhile learns nothing of that.
+constexpr std::size_t fewestLapsed = 4;
+constexpr std::size_t lapsedDivisor = 4;
+
+bool isLapse(std::size_t vanished, std::size_t known)
+{
+    return vanished >= fewestLapsed && vanished * lapsedDivisor >= known;
+}
 
 } // namespace
 
@@ -86,17 +96,27 @@
     this->knownAsOf = asOf;
     this->log.clear();
     this->logStart = asOf;
-    this->state.clear();
+    const std::map<std::string, Value, std::less<>> before = std::exchange(this->state, {});
     for (const StoreItem &item : items) {
         this->state[item.key] = {item.value, item.revision};
     }
+    const auto vanished = std::ranges::count_if(before, [this](const auto &entry) {
+        return !this->state.contains(entry.first);
+    });
+    if (isLapse(static_cast<std::size_t>(vanished), before.size())) {
+        this->failedAt = now;
+    }
     actions.emplace_back(TakeListing{.items = std::move(items), .storeWasAway = this->wasAway(now)});
 }
 
 void PrefixFollower::onChanges(Instant now, StoreChanges changes, std::vector<FollowerAction> &actions)
 {
     this->answered(actions);
-    this->failedAt = changes.storeWasAway ? now : this->failedAt;
+    const auto vanished = std::ranges::count_if(changes.changes, [this](const StoreChange &change) {
+        return !change.value.has_value() && this->state.contains(change.key);
+    });
+    const bool lapse = isLapse(static_cast<std::size_t>(vanished), this->state.size());
+    this->failedAt = changes.storeWasAway || lapse ? now : this->failedAt;
     for (StoreChange &change : changes.changes) {
         // A peer may have handed over a newer state, in which a key is gone, while this watch was under way.
         const auto found = this->state.find(change.key);
--- a/src/hickoryshore/statesync/prefix_follower_test.cpp
+++ b/src/hickoryshore/statesync/prefix_follower_test.cpp
@@ -104,6 +104,55 @@
     BOOST_TEST(this->take<TakeChange>().at(0).storeWasAway);
 }
 
+BOOST_AUTO_TEST_CASE(many_keys_that_vanish_at_once_have_lapsed_with_the_store)
+{
+    // The leases of all writers run out while the store stands still, and a watch that waits learns nothing of that.
+    std::vector<StoreItem> items;
+    std::vector<StoreChange> lapsed;
+    for (std::uint64_t number = 1; number <= 20; ++number) {
+        const std::string key = "k" + std::to_string(number);
+        items.push_back({key, "1", number});
+        if (number > 10) {
+            lapsed.push_back({key, std::nullopt, 30 + number});
+        }
+    }
+    this->follower.start(start, this->actions);
+    this->follower.onPage(start, {.items = items, .asOf = 25}, this->actions);
+    this->actions.clear();
+    this->follower.onChanges(start + 60s, {.changes = lapsed, .asOf = 60}, this->actions);
+    for (const TakeChange &taken : this->take<TakeChange>()) {
+        BOOST_TEST(taken.storeWasAway);
+    }
+    // One that follows soon after belongs to them.
+    this->follower.onChanges(start + 61s, {.changes = {{"k1", std::nullopt, 61}}, .asOf = 61}, this->actions);
+    BOOST_TEST(this->take<TakeChange>().at(0).storeWasAway);
+}
+
+BOOST_AUTO_TEST_CASE(a_listing_that_lacks_many_keys_was_made_while_they_had_lapsed)
+{
+    std::vector<StoreItem> items;
+    for (std::uint64_t number = 1; number <= 20; ++number) {
+        items.push_back({"k" + std::to_string(number), "1", number});
+    }
+    this->follower.start(start, this->actions);
+    this->follower.onPage(start, {.items = items, .asOf = 25}, this->actions);
+    this->follower.onFailure(start + 60s, StoreFailure::HistoryGone, this->actions);
+    this->actions.clear();
+    items.resize(10);
+    this->follower.onPage(start + 60s, {.items = items, .asOf = 60}, this->actions);
+    BOOST_TEST(this->take<TakeListing>().at(0).storeWasAway);
+}
+
+BOOST_AUTO_TEST_CASE(a_few_keys_that_vanish_are_gone)
+{
+    this->list(10);
+    this->follower.onChanges(
+        start, {.changes = {{"a", std::nullopt, 11}, {"b", std::nullopt, 12}}, .asOf = 12}, this->actions);
+    for (const TakeChange &taken : this->take<TakeChange>()) {
+        BOOST_TEST(!taken.storeWasAway);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_store_that_answers_from_an_older_state_takes_nothing_back)
 {
     this->list(10);
