Look at the replicas' pauses only where all refuse; one way from an unusable answer to a failure

Read again: retry() looked through a service's replicas for pauses on every retry, though only a refusal by all of them asks for it; the two calls to the store each mapped an answer with foreign keys and a failed one in branches of their own. No change of behaviour.

--- a/src/hickoryshore/dispatch/request_run.cpp
+++ b/src/hickoryshore/dispatch/request_run.cpp
@@ -156,8 +156,9 @@
     }
     const bool refusedByAll
         = part.last == ResultCode::UpstreamShed && !part.retryAt.has_value() && !this->untried(now, number).has_value();
-    const bool pausesTold = this->table->untilAccepted(now, this->settings.services[number]).has_value();
-    if (refusedByAll && !pausesTold && now + refusalPause < this->settings.deadline) {
+    // Where the replicas have told their pauses, the part is given up now.
+    if (refusedByAll && now + refusalPause < this->settings.deadline
+        && !this->table->untilAccepted(now, this->settings.services[number]).has_value()) {
         part.retryAt = now + refusalPause;
         return;
     }
--- a/src/hickoryshore/entry/state_service.cpp
+++ b/src/hickoryshore/entry/state_service.cpp
@@ -37,6 +37,14 @@
 constexpr int statusGone = 410;
 constexpr std::string_view slice = "state";
 
+/// Why a call brought nothing of use: an answer to another call counts as none.
+template<typename Result>
+StoreFailure failureOf(const Result &result)
+{
+    const auto *failure = std::get_if<StoreFailure>(&result);
+    return failure == nullptr ? StoreFailure::Unavailable : *failure;
+}
+
 } // namespace
 
 StateService::StateService(
@@ -103,12 +111,10 @@
     this->calls.list(this->prefixes[which].name, call.after, [this, which](PageResult result) {
         PrefixFollower &follower = this->prefixes[which].follower;
         auto *page = std::get_if<StorePage>(&result);
-        if (page != nullptr && !this->concerns(which, page->items)) {
-            follower.onFailure(monotonicNow(), StoreFailure::Unavailable, this->actions);
-        } else if (page != nullptr) {
+        if (page != nullptr && this->concerns(which, page->items)) {
             follower.onPage(monotonicNow(), std::move(*page), this->actions);
         } else {
-            follower.onFailure(monotonicNow(), std::get<StoreFailure>(result), this->actions);
+            follower.onFailure(monotonicNow(), failureOf(result), this->actions);
         }
         this->perform(which);
     });
@@ -136,12 +142,10 @@
     this->calls.watch(this->prefixes[which].name, call.after, watchWait, [this, which](ChangesResult result) {
         PrefixFollower &follower = this->prefixes[which].follower;
         auto *changes = std::get_if<StoreChanges>(&result);
-        if (changes != nullptr && !this->concerns(which, changes->changes)) {
-            follower.onFailure(monotonicNow(), StoreFailure::Unavailable, this->actions);
-        } else if (changes != nullptr) {
+        if (changes != nullptr && this->concerns(which, changes->changes)) {
             follower.onChanges(monotonicNow(), std::move(*changes), this->actions);
         } else {
-            follower.onFailure(monotonicNow(), std::get<StoreFailure>(result), this->actions);
+            follower.onFailure(monotonicNow(), failureOf(result), this->actions);
         }
         this->perform(which);
     });
