Bound what a server may send that is no answer; a length beyond the bound ended the process

Found by the tests: Beast's eager parser goes on with the body where the head has just exceeded the bound, if bytes of the body came with it. It then reserves the announced length: a Content-Length of 4e18 with one byte of body ends the process with bad_alloc, from a replica as well as from a caller. Ruled out: a bound by Beast's header limit alone; it holds for heads, not for chunk lines. Change: parsers are not eager; a part of a merged answer may take 32 times the records that are wanted (64 KB at least), other answers a sixteenth of the VM's memory, all that are being read a quarter, beyond which the longest fails; 8 interim responses, 4 answers to other requests.

--- a/include/hickoryshore/entry/entry_settings.h
+++ b/include/hickoryshore/entry/entry_settings.h
@@ -5,6 +5,7 @@
 #include "hickoryshore/base/time.h"
 #include "hickoryshore/dispatch/endpoint_table.h"
 
+#include <cstddef>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -26,6 +27,7 @@
     std::string metricsListen; ///< "ip:port" for counters and histograms.
     int membershipPort = 0; ///< UDP.
     int capacity = 0; ///< Processor, in thousandths of a core.
+    std::size_t memoryBytes = std::size_t{128} * 1024 * 1024; ///< That the process may use.
     std::vector<std::string> seeds; ///< IP numbers of some VMs; those that are gone do no harm.
     Duration gracePeriod{std::chrono::seconds(6)}; ///< From the order to leave until the process is killed.
     RepeatBudget repeats;
--- a/include/hickoryshore/http1/http_exchange.h
+++ b/include/hickoryshore/http1/http_exchange.h
@@ -48,9 +48,11 @@
     bool withoutLength = false; ///< A response may end with its connection; see HttpResponseReader::end().
     bool excess = false; ///< Bytes beyond the response are left in excess() instead of making it malformed.
     bool keepHeaders = false; ///< Gives the header fields out.
+    std::size_t headBytes = std::size_t{16} * 1024; ///< Of a head, of a chunk's size line, and of the trailers.
+    std::size_t bodyBytes = std::size_t{16} * 1024 * 1024;
 };
 
-/// Reads one response of at most 16 MB.
+/// Reads one response within the bounds of its rules: what goes beyond them is malformed.
 class HttpResponseReader
 {
 public:
@@ -64,6 +66,12 @@
     /// Says that the next response answers a HEAD request, and so has no body.
     void expectNoBody();
 
+    /// Bounds the body of the next response, where the rules allow more.
+    void limitBody(std::size_t bytes);
+
+    /// Bytes that are kept of a response that is not complete.
+    std::size_t buffered() const;
+
     /// Takes what was received. Bytes beyond the response make it malformed unless the rules allow them: nothing more
     /// was asked for.
     Progress take(std::string_view bytes);
--- a/include/hickoryshore/upstream/http_connections.h
+++ b/include/hickoryshore/upstream/http_connections.h
@@ -32,6 +32,9 @@
     bool warmSpare = false; ///< One connection more is opened when the last idle one is taken into use.
     Duration keepAliveProbe{0}; ///< Interval of TCP keep-alive probes; zero sends none.
     HttpResponseRules responses;
+
+    /// Of all responses that are being read. Beyond it the longest one fails as malformed. Zero: no bound.
+    std::size_t bytesTogether = 0;
 };
 
 /// Counts over the life of the pool.
@@ -41,6 +44,7 @@
     std::uint64_t failedToOpen = 0;
     std::uint64_t closedAsSilent = 0;
     std::uint64_t closedAsSuspect = 0;
+    std::uint64_t closedAsTooLong = 0; ///< Since all responses together took too much memory.
     int open = 0;
 };
 
@@ -70,6 +74,7 @@
     bool proven = false; ///< Only over a new connection or one proven alive.
     bool waits = false; ///< Waits for a connection where all that the bound allows are in use, rather than fail.
     bool bodiless = false; ///< A HEAD request.
+    std::size_t mostBodyBytes = 0; ///< Of the response; zero: what the pool's rules say.
     std::string tag; ///< Names it for dropWaiting().
     std::function<void(HttpExchangeEnd)> onEnd; ///< May be empty.
 
@@ -139,6 +144,8 @@
         std::uint64_t watch = 0;
         bool connected = false;
         bool sawForeign = false; ///< A response came that answers another request.
+        int foreign = 0; ///< Such responses while this exchange waits.
+        std::size_t buffered = 0; ///< Bytes of a response that is not complete.
         Instant lastAlive; ///< Opened, or last reply.
         Instant sentAt;
         Instant deadline; ///< Of the exchange, of the opening, or of being idle.
@@ -154,6 +161,7 @@
         std::atomic<std::uint64_t> failedToOpen = 0;
         std::atomic<std::uint64_t> closedAsSilent = 0;
         std::atomic<std::uint64_t> closedAsSuspect = 0;
+        std::atomic<std::uint64_t> closedAsTooLong = 0;
         std::atomic<int> open = 0;
     };
 
@@ -179,6 +187,9 @@
     bool receiveEnd(Id id, Connection &connection);
     bool take(Id id, Connection &connection, std::string_view bytes, bool ended);
     bool completed(Id id, Connection &connection, bool ended);
+    void expectResponse(Connection &connection);
+    void countBuffered(Connection &connection, std::size_t bytes);
+    void boundTogether();
     void fail(Id id, HttpFailure failure);
     void endExchange(HttpExchange exchange, HttpExchangeEnd end);
 
@@ -197,6 +208,7 @@
     Id lastId = 0; ///< Of the connections and of the exchanges.
     std::set<std::pair<Instant, Id>> deadlines; ///< One entry for each connection and for each exchange that waits.
     Instant timerAt = Instant::max();
+    std::size_t bufferedTogether = 0; ///< Over all connections.
     bool starting = false; ///< Within start(), where completions must wait.
     std::vector<char> received;
 };
--- a/src/hickoryshore/entry/replica_faults_test.cpp
+++ b/src/hickoryshore/entry/replica_faults_test.cpp
@@ -75,6 +75,11 @@
         ::close(connection);
     }
 
+    bool isOpen(int connection) const
+    {
+        return this->watches.contains(connection);
+    }
+
     int accepted = 0;
 
 private:
@@ -227,10 +232,65 @@
     return entry.callEach(1, 0ms, method).front().status;
 }
 
+/// Writes the piece again and again until the connection ends.
+void writeEndlessly(RawEntry &entry, int connection, const std::string &piece, Duration pause, std::size_t &written)
+{
+    entry.replica->write(connection, piece);
+    written += piece.size();
+    entry.loop.after(pause, [&entry, connection, &piece, pause, &written] {
+        if (entry.replica->isOpen(connection)) {
+            writeEndlessly(entry, connection, piece, pause, written);
+        }
+    });
+}
+
+/// Where bytes without end begin, and what is repeated.
+struct EndlessCase
+{
+    std::string begin;
+    std::string piece;
+    Duration pause{1ms};
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(replica_faults)
 
+BOOST_AUTO_TEST_CASE(a_replica_that_sends_without_end_is_closed_and_the_request_goes_on_elsewhere)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: 1\r\nSign: s\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string long1000(1000, 'x');
+    for (const EndlessCase &each : {EndlessCase{"HTTP/1.1 200 ", long1000},
+                                    EndlessCase{head + "X: ", long1000},
+                                    EndlessCase{"", "HTTP/1.1 102 Processing\r\n\r\n"},
+                                    EndlessCase{chunked + "5;", long1000},
+                                    EndlessCase{chunked + "0\r\n", "X: " + long1000 + "\r\n"},
+                                    EndlessCase{chunked, "3e8\r\n" + long1000 + "\r\n"},
+                                    EndlessCase{head + "\r\n", std::string(60'000, 'x')},
+                                    EndlessCase{"", answerBytes(Framing::Length, "other", "x")},
+                                    EndlessCase{head, "X", 5ms}}) {
+        BOOST_TEST_INFO(each.begin << " then " << each.piece.substr(0, 20));
+        RawEntry entry;
+        std::size_t written = 0;
+        entry.addReplica("s", answering("s", "answer"));
+        ReplicaRecord cold = entry.registry.replicas().at("replica-0").record;
+        cold.warmUpLeft = 10s; // So that the other one is asked first.
+        entry.registry.put(monotonicNow(), "replica-0", cold);
+        entry.serve(
+            [&](int connection, const std::string &) {
+                entry.replica->write(connection, each.begin);
+                writeEndlessly(entry, connection, each.piece, each.pause, written);
+            },
+            true);
+        const UpstreamHttpResponse answer = entry.callEach(1, 0ms, "GET").front();
+        BOOST_TEST(written > 0U);
+        BOOST_TEST(answer.status == 200);
+        BOOST_TEST(answer.body == "answer");
+        BOOST_TEST(written < 2'000'000U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_second_copy_of_an_answer_reaches_no_other_caller)
 {
     for (const Framing framing : {Framing::Length, Framing::Chunks}) {
--- a/src/hickoryshore/entry/request_attempts.cpp
+++ b/src/hickoryshore/entry/request_attempts.cpp
@@ -17,6 +17,10 @@
 constexpr Duration strayLimit = 400ms;
 /// Room for the header fields that this VM adds.
 constexpr std::size_t addedHeaderBytes = 128;
+/// A part of a merged answer may have so many times the records that are wanted, and at least so many bytes: what is
+/// longer is no part.
+constexpr std::size_t recordsAllowance = 32;
+constexpr std::size_t leastPartBytes = std::size_t{64} * 1024;
 constexpr std::string_view slice = "entry";
 
 std::string milliseconds(Duration duration)
@@ -79,6 +83,10 @@
     exchange.proven = action.provenConnection;
     exchange.waits = true;
     exchange.bodiless = forwarding.isHead;
+    if (!request.route->shards.empty()) {
+        const std::size_t wanted = request.route->topRecords * this->dialect.recordBytes;
+        exchange.mostBodyBytes = std::max(leastPartBytes, recordsAllowance * wanted);
+    }
     exchange.skipsForeign = true;
     exchange.belongs = [this, shared = request.forwarding](const UpstreamHttpResponse &response) {
         const auto echoed = findHeader(response.headers, this->dialect.headers.requestId);
--- a/src/hickoryshore/entry/request_service.cpp
+++ b/src/hickoryshore/entry/request_service.cpp
@@ -22,8 +22,20 @@
 constexpr Duration longestWait = 1h;
 /// Of the connections that a replica accepts, the part that is divided between the VMs.
 constexpr double sharedConnections = 0.85;
+/// Of this VM's memory, what one answer of a replica may take, and all that are being read together.
+constexpr std::size_t memoryDivisorOfAnswer = 16;
+constexpr std::size_t memoryDivisorTogether = 4;
 constexpr std::string_view slice = "entry";
 
+HttpConnectionSettings connectionSettings(std::size_t memoryBytes)
+{
+    return {.responses = {.withoutLength = true,
+                          .excess = true,
+                          .keepHeaders = true,
+                          .bodyBytes = memoryBytes / memoryDivisorOfAnswer},
+            .bytesTogether = memoryBytes / memoryDivisorTogether};
+}
+
 Duration parseMilliseconds(std::optional<std::string_view> text, Duration otherwise)
 {
     std::int64_t milliseconds = 0;
@@ -49,8 +61,7 @@
       hooks(std::move(hooks)),
       table(seed),
       split(seed),
-      upstream(std::make_shared<HttpConnections>(
-          loop, HttpConnectionSettings{.responses = {.withoutLength = true, .excess = true, .keepHeaders = true}}))
+      upstream(std::make_shared<HttpConnections>(loop, connectionSettings(settings.memoryBytes)))
 {
     this->repeats = settings.repeats;
     this->setShare(1.0);
--- a/src/hickoryshore/http1/http_exchange.cpp
+++ b/src/hickoryshore/http1/http_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "http_fields.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -18,9 +19,10 @@
 namespace {
 
 constexpr unsigned httpVersion = 11;
-constexpr std::uint64_t largestBody = 16ULL * 1024 * 1024;
 /// Interim responses (1xx) come before the final one.
 constexpr int firstFinalStatus = 200;
+/// Before a final response; a server that sends more of them sends no answer.
+constexpr int mostInterimResponses = 8;
 
 boost::beast::string_view viewOf(std::string_view text)
 {
@@ -58,6 +60,8 @@
 {
     HttpResponseRules rules;
     bool bodiless = false;
+    std::size_t mostBody = 0; ///< Bytes, of the next response.
+    int interim = 0; ///< Interim responses before it.
     std::optional<http::response_parser<http::string_body>> parser;
     std::string pending; ///< Received, but not enough for the parser to go on.
     std::string excess;
@@ -69,8 +73,10 @@
 void HttpResponseReader::State::begin()
 {
     this->parser.emplace();
-    this->parser->eager(true);
-    this->parser->body_limit(largestBody);
+    // An eager parser goes on with the body where the head has been found to exceed a bound.
+    this->parser->eager(false);
+    this->parser->header_limit(static_cast<std::uint32_t>(this->rules.headBytes));
+    this->parser->body_limit(this->mostBody);
     this->parser->skip(this->bodiless);
 }
 
@@ -96,6 +102,7 @@
 HttpResponseReader::HttpResponseReader(HttpResponseRules rules) : state(std::make_unique<State>())
 {
     this->state->rules = rules;
+    this->state->mostBody = rules.bodyBytes;
 }
 
 HttpResponseReader::~HttpResponseReader() = default;
@@ -107,6 +114,17 @@
     this->state->bodiless = true;
 }
 
+void HttpResponseReader::limitBody(std::size_t bytes)
+{
+    this->state->mostBody = std::min(bytes, this->state->rules.bodyBytes);
+}
+
+std::size_t HttpResponseReader::buffered() const
+{
+    const auto &parser = this->state->parser;
+    return this->state->pending.size() + (parser.has_value() ? parser->get().body().size() : 0);
+}
+
 HttpResponseReader::Progress HttpResponseReader::take(std::string_view bytes)
 {
     auto &parser = this->state->parser;
@@ -123,6 +141,9 @@
     while (!bytes.empty() && !parser->is_done() && !error) {
         bytes.remove_prefix(parser->put(boost::asio::buffer(bytes.data(), bytes.size()), error));
         if (parser->is_done() && static_cast<int>(parser->get().result_int()) < firstFinalStatus) {
+            if (++this->state->interim > mostInterimResponses) {
+                return Progress::Malformed;
+            }
             this->state->begin();
         }
     }
@@ -130,6 +151,10 @@
         return Progress::Malformed;
     }
     if (error == http::error::need_more) {
+        // The parser bounds a head, but neither a chunk's size line nor the trailers.
+        if (bytes.size() > this->state->rules.headBytes) {
+            return Progress::Malformed;
+        }
         pending = std::string(bytes);
         return Progress::NeedsMore;
     }
@@ -165,6 +190,8 @@
     this->state->parser.reset();
     this->state->pending.clear();
     this->state->bodiless = false;
+    this->state->mostBody = this->state->rules.bodyBytes;
+    this->state->interim = 0;
     return response;
 }
 
--- a/src/hickoryshore/http1/http_exchange_test.cpp
+++ b/src/hickoryshore/http1/http_exchange_test.cpp
@@ -2,6 +2,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <utility>
+#include <vector>
+
 using namespace hickoryshore;
 using Progress = HttpResponseReader::Progress;
 
@@ -103,3 +107,66 @@
     BOOST_TEST(response.status == 200);
     BOOST_TEST((response.idleTimeout == Duration(std::chrono::seconds(7))));
 }
+
+BOOST_AUTO_TEST_CASE(bytes_without_end_are_malformed_before_they_take_memory)
+{
+    // Where a server may go on for ever: each is sent in pieces until the reader gives up.
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::vector<std::pair<std::string, std::string>> endless = {
+        {"", "x"},
+        {"HTTP/1.1 200 ", "x"},
+        {head + "X: ", "x"},
+        {head, "X: y\r\n"},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {chunked + "5;", "x"},
+        {chunked, "0"},
+        {chunked + "0\r\n", "X: y\r\n"},
+        {chunked, "4\r\nabcd\r\n"},
+        {head + "\r\n", "x"},
+    };
+    constexpr std::size_t mostBody = 4096;
+    constexpr std::size_t patience = 10'000'000;
+    for (const auto &[begin, again] : endless) {
+        for (const std::size_t times : {std::size_t{1}, std::size_t{1000}}) {
+            BOOST_TEST_INFO(begin << " then " << again << ", " << times << " at a time");
+            HttpResponseReader reader({.withoutLength = true, .excess = true, .bodyBytes = mostBody});
+            std::string piece;
+            for (std::size_t each = 0; each < times; ++each) {
+                piece += again;
+            }
+            Progress progress = begin.empty() ? Progress::NeedsMore : reader.take(begin);
+            std::size_t sent = 0;
+            std::size_t kept = 0;
+            while (progress == Progress::NeedsMore && sent < patience) {
+                progress = reader.take(piece);
+                sent += piece.size();
+                kept = std::max(kept, reader.buffered());
+            }
+            BOOST_TEST((progress == Progress::Malformed));
+            BOOST_TEST(sent <= 64 * 1024U);
+            BOOST_TEST(kept <= 32 * 1024U);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_bound_of_one_response_does_not_hold_for_the_next)
+{
+    HttpResponseReader reader;
+    reader.limitBody(4);
+    BOOST_TEST((reader.take(whole) == Progress::Malformed));
+    HttpResponseReader other;
+    other.limitBody(5);
+    BOOST_TEST((other.take(whole) == Progress::Complete));
+    static_cast<void>(other.release());
+    BOOST_TEST((other.take("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nhello!") == Progress::Complete));
+}
+
+BOOST_AUTO_TEST_CASE(a_length_beyond_the_bound_is_refused_also_where_the_body_comes_with_the_head)
+{
+    for (const char *length : {"16777217", "4000000000000000000", "18446744073709551615"}) {
+        const std::string head = std::string("HTTP/1.1 200 OK\r\nContent-Length: ") + length + "\r\n\r\n";
+        BOOST_TEST((progressOf(head) == Progress::Malformed));
+        BOOST_TEST((progressOf(head + "x") == Progress::Malformed));
+    }
+}
--- a/src/hickoryshore/http1/http_request_reader.cpp
+++ b/src/hickoryshore/http1/http_request_reader.cpp
@@ -62,7 +62,8 @@
     }
     if (!parser.has_value()) {
         parser.emplace();
-        parser->eager(true);
+        // An eager parser goes on with the body where the head has been found to exceed a bound.
+        parser->eager(false);
         parser->header_limit(narrow(this->state->limits.headerBytes));
         parser->body_limit(this->state->limits.bodyBytes);
     }
@@ -74,10 +75,11 @@
     if (error && error != http::error::need_more) {
         return progressOfError(error);
     }
-    const bool headerTooLong = !parser->is_header_done() && left.size() > this->state->limits.headerBytes;
+    const bool tooLong = !parser->is_done() && left.size() > this->state->limits.headerBytes;
     pending.erase(0, pending.size() - left.size());
-    if (headerTooLong) {
-        return Progress::HeaderTooLarge;
+    if (tooLong) {
+        // After the head it is the size line of a chunk, or trailers.
+        return parser->is_header_done() ? Progress::Malformed : Progress::HeaderTooLarge;
     }
     return parser->is_done() ? Progress::Complete : Progress::NeedsMore;
 }
--- a/src/hickoryshore/http1/http_request_reader_test.cpp
+++ b/src/hickoryshore/http1/http_request_reader_test.cpp
@@ -82,3 +82,28 @@
     BOOST_TEST(isHopByHop("X-Own", "close, x-own"));
     BOOST_TEST(!isHopByHop("X-Own", "close"));
 }
+
+BOOST_AUTO_TEST_CASE(a_request_longer_than_the_bound_is_refused_also_where_its_body_comes_with_the_head)
+{
+    for (const char *length : {"1048577", "4000000000000000000"}) {
+        HttpRequestReader reader({});
+        const auto progress = reader.take(std::string("POST / HTTP/1.1\r\nContent-Length: ") + length + "\r\n\r\nx");
+        BOOST_TEST((progress == HttpRequestReader::Progress::BodyTooLarge));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(chunk_lines_and_trailers_without_end_are_refused)
+{
+    const std::string head = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string begin : {"5;", "0\r\nX: "}) {
+        HttpRequestReader reader({.headerBytes = 4096, .bodyBytes = 4096});
+        auto progress = reader.take(head + begin);
+        std::size_t sent = 0;
+        while (progress == HttpRequestReader::Progress::NeedsMore && sent < 100'000) {
+            progress = reader.take(std::string(100, 'x'));
+            sent += 100;
+        }
+        BOOST_TEST((progress != HttpRequestReader::Progress::NeedsMore));
+        BOOST_TEST(sent < 10'000U);
+    }
+}
--- a/src/hickoryshore/upstream/http_connections.cpp
+++ b/src/hickoryshore/upstream/http_connections.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <system_error>
+#include <utility>
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -21,6 +22,9 @@
 /// A spare connection that has not opened after this time is given up.
 constexpr Duration spareOpening = std::chrono::seconds(1);
 
+/// Responses to other requests that are passed over for one exchange: copies of answers come one at a time.
+constexpr int mostForeign = 4;
+
 } // namespace
 
 HttpConnections::HttpConnections(EventLoop &loop, HttpConnectionSettings settings)
@@ -242,6 +246,7 @@
     if (connection.exchange.has_value()) {
         this->inUse.erase(connection.exchangeId);
     }
+    this->countBuffered(connection, 0);
     this->deadlines.erase({connection.deadline, id});
     this->connections.erase(found);
     this->serveWaitingSoon(server);
@@ -265,6 +270,35 @@
     // Sending may have failed and closed it.
     if (readiness.readable && this->connections.contains(id)) {
         this->receive(id, connection, readiness.ended);
+        this->boundTogether();
+    }
+}
+
+/// Sets what the reader may take for the exchange that begins.
+void HttpConnections::expectResponse(Connection &connection)
+{
+    if (connection.exchange->bodiless) {
+        connection.reader.expectNoBody();
+    }
+    if (connection.exchange->mostBodyBytes > 0) {
+        connection.reader.limitBody(connection.exchange->mostBodyBytes);
+    }
+}
+
+void HttpConnections::countBuffered(Connection &connection, std::size_t bytes)
+{
+    this->bufferedTogether += bytes - std::exchange(connection.buffered, bytes);
+}
+
+/// Many servers that send without end must not take the memory that all other answers need.
+void HttpConnections::boundTogether()
+{
+    while (this->settings.bytesTogether > 0 && this->bufferedTogether > this->settings.bytesTogether) {
+        const auto longest = std::ranges::max_element(this->connections, {}, [](const auto &entry) {
+            return entry.second.buffered;
+        });
+        ++this->counters.closedAsTooLong;
+        this->fail(longest->first, HttpFailure::Malformed);
     }
 }
 
@@ -299,9 +333,8 @@
         }
         connection.exchange->request = std::move(*request);
     }
-    if (connection.exchange->bodiless) {
-        connection.reader.expectNoBody();
-    }
+    connection.foreign = 0;
+    this->expectResponse(connection);
     Server &server = *connection.server;
     this->sendMore(id, connection);
     this->keepSpare(server);
@@ -404,8 +437,10 @@
             return true;
         }
         if (progress == HttpResponseReader::Progress::NeedsMore) {
+            this->countBuffered(connection, connection.reader.buffered());
             return false;
         }
+        this->countBuffered(connection, 0);
         next = std::string(connection.reader.excess());
         if (this->completed(id, connection, ended || !next.empty())) {
             return true;
@@ -425,9 +460,11 @@
     const bool foreign = connection.exchange->belongs && !connection.exchange->belongs(end.response);
     connection.sawForeign = connection.sawForeign || foreign;
     if (foreign && connection.exchange->skipsForeign) {
-        if (connection.exchange->bodiless) {
-            connection.reader.expectNoBody();
+        if (++connection.foreign > mostForeign) {
+            this->fail(id, HttpFailure::Malformed);
+            return true;
         }
+        this->expectResponse(connection);
         return false;
     }
     HttpExchange exchange = std::move(*connection.exchange);
@@ -484,6 +521,7 @@
             .failedToOpen = this->counters.failedToOpen,
             .closedAsSilent = this->counters.closedAsSilent,
             .closedAsSuspect = this->counters.closedAsSuspect,
+            .closedAsTooLong = this->counters.closedAsTooLong,
             .open = this->counters.open};
 }
 
