--- a/include/hickoryshore/entry/entry_dialect.h
+++ b/include/hickoryshore/entry/entry_dialect.h
@@ -66,7 +66,8 @@
 struct StoreAccess
 {
     std::function<void(std::string_view prefix, std::string_view after, std::function<void(PageResult)>)> list;
-    std::function<void(std::string_view prefix, std::uint64_t after, Duration wait, std::function<void(ChangesResult)>)>
+    std::function<void(
+        std::string_view prefix, const StoreRevision &after, Duration wait, std::function<void(ChangesResult)>)>
         watch;
 };
 
--- a/include/hickoryshore/entry/state_service.h
+++ b/include/hickoryshore/entry/state_service.h
@@ -43,12 +43,15 @@
     /// The other VMs, of which any can be asked.
     void setMembers(std::shared_ptr<const MembershipView> view);
 
-    /// A peer has a newer configuration; asked for if the store does not bring it soon.
-    void onRevisionHeard(Revision revision, const VmId &from);
+    /// A peer has the configuration of this version; asked for if it is newer and the store does not bring it soon.
+    void onVersionHeard(std::uint64_t version, const VmId &from);
 
     /// A replica has said in a reply that it leaves: no listing takes that back.
     void markLeaving(EndpointId endpoint);
 
+    /// The replicas that have departed, for another VM.
+    std::vector<DepartedStart> departedReplicas() const;
+
     /// Answers another VM that follows the store by way of this one: at once, or when something changes.
     void answerPeer(const PeerStoreRequest &request, std::function<void(const HttpAnswer &)> answer);
 
@@ -59,8 +62,12 @@
     /// other VMs can serve it, otherwise when the store is likely to have told.
     Duration comeBackAfter() const;
 
-    /// Of the configuration in force; zero while there is none.
-    Revision revision() const;
+    /// The version of the configuration in force; zero while there is none. Versions order configurations, whatever
+    /// becomes of the store's revisions.
+    std::uint64_t version() const;
+
+    /// The store's era as far as it is known.
+    std::uint64_t era() const;
 
     bool isCutOff() const;
 
@@ -84,7 +91,10 @@
     void armTimer(Followed which);
     void takeListing(Followed which, const TakeListing &listing);
     void takeChange(Followed which, const TakeChange &change);
-    void takeRouteTable(std::string_view text, std::uint64_t revision);
+    void takeRouteTable(std::string_view text);
+    void listAside(Followed which, StorePage before);
+    void followEra(Followed which);
+    void askDeparted();
     ListedReplica readReplica(std::string_view key, std::string_view text) const;
     void tellReplicas();
     void expireReplicas();
@@ -93,7 +103,7 @@
     struct WaitingPeer
     {
         Followed which;
-        std::uint64_t after = 0;
+        StoreRevision after;
         Instant until;
         std::function<void(const HttpAnswer &)> answer;
     };
@@ -101,18 +111,20 @@
     /// The newest state that another VM is known to have.
     struct Heard
     {
-        std::uint64_t revision = 0; ///< Of the configuration its version, of the registrations the store's revision.
+        StoreRevision revision; ///< Of the configuration its version, of the registrations the store's revision.
         VmId from;
         Instant since; ///< When a newer state than this VM's was first heard of.
     };
 
-    std::uint64_t known(Followed which) const;
-    void hear(Followed which, std::uint64_t revision, const VmId &from);
+    StoreRevision known(Followed which) const;
+    void hear(Followed which, const StoreRevision &revision, const VmId &from);
     void checkFreshness();
     void askPeerIfLate();
     void askPeerIfLate(Followed which, Duration patience);
     void takePeerState(Followed which, PageResult result, const std::string &peer);
-    std::optional<HttpAnswer> changesFor(Followed which, std::uint64_t after, bool evenNone) const;
+    void takeFrom(const Member &peer, Followed which);
+    std::optional<HttpAnswer> changesFor(Followed which, const StoreRevision &after, bool evenNone) const;
+    std::vector<StoreItem> itemsForPeers(Followed which) const;
     void answerWaiting();
 
     EventLoop &loop;
@@ -123,12 +135,15 @@
     std::array<Prefix, FollowedCount> prefixes;
     std::vector<FollowerAction> actions;
     std::shared_ptr<const RouteTable> routes;
-    Revision routesRevision;
+    std::string routesText; ///< For peers: the store may hold an older one.
     ReplicaRegistry registry;
     std::size_t replicaChanges = 0; ///< That onReplicas has not been told of.
     std::shared_ptr<const MembershipView> members;
     std::vector<WaitingPeer> waiting;
     std::array<Heard, FollowedCount> heard;
+    int departedCalls = 0; ///< To other VMs, since the start.
+    bool askingDeparted = false;
+    bool listingAside = false;
 };
 
 } // namespace hickoryshore
--- a/include/hickoryshore/entry/store_sharing.h
+++ b/include/hickoryshore/entry/store_sharing.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,14 +45,20 @@
     /// Asks a VM drawn at random what has changed there after a revision, without waiting for changes. Nothing is asked
     /// where this VM follows another one rather than the store, or where there is none.
     void askChanges(std::string_view prefix,
-                    std::uint64_t after,
-                    std::function<void(const VmId &, ChangesResult)> completion);
+                    const StoreRevision &after,
+                    std::function<void(const Member &, ChangesResult)> completion);
+
+    /// Asks a VM drawn at random which replicas have departed; returns false where there is none to ask. The completion
+    /// gets nothing where the VM did not answer.
+    bool askDeparted(std::function<void(std::optional<std::vector<DepartedStart>>)> completion);
 
 private:
     std::optional<Member> source();
+    const Member *drawInformed();
+    std::string serverOf(const Member &peer) const;
     void list(std::string_view prefix, std::string_view after, std::function<void(PageResult)> completion);
     void watch(std::string_view prefix,
-               std::uint64_t after,
+               const StoreRevision &after,
                Duration wait,
                std::function<void(ChangesResult)> completion);
     void count(bool failed);
@@ -69,7 +76,8 @@
 struct PeerStoreRequest
 {
     std::string prefix;
-    std::optional<std::uint64_t> changesAfter; ///< Nothing: list.
+    std::optional<std::uint64_t> changesAfter; ///< The number of a revision; nothing: list.
+    std::optional<std::uint64_t> era; ///< Of that revision; VMs that know of none leave it out.
     Duration wait{0};
 };
 
@@ -81,4 +89,10 @@
 std::string encodePage(const StorePage &page);
 std::string encodeChanges(const StoreChanges &changes);
 
+/// Where a VM tells others which replicas have departed, and the answer's body. decodeDeparted() returns nothing where
+/// the body can't be read.
+inline constexpr std::string_view departedPath = "/v1/store/departed";
+std::string encodeDeparted(std::span<const DepartedStart> starts);
+std::optional<std::vector<DepartedStart>> decodeDeparted(std::string_view body);
+
 } // namespace hickoryshore
--- a/include/hickoryshore/registry/replica_registry.h
+++ b/include/hickoryshore/registry/replica_registry.h
@@ -53,6 +53,15 @@
     std::optional<ReplicaRecord> record;
 };
 
+/// A start of a replica that is not to get work again: it leaves, or its entry was removed.
+struct DepartedStart
+{
+    std::string name;
+    std::string address;
+    WallTime started;
+    bool removed = false; ///< Its entry was removed; otherwise it said that it leaves.
+};
+
 /// The registered replicas. Not thread-safe.
 class ReplicaRegistry
 {
@@ -65,6 +74,10 @@
     /// peer's older view, does not bring it back.
     static constexpr Duration leavingMemory = std::chrono::minutes(10);
 
+    /// For how long an entry is held back that a store has brought back from an older copy though it was removed since:
+    /// the lease of one that has no writer ends within it.
+    static constexpr Duration copyAllowance = std::chrono::seconds(6);
+
     /// A replica registered or changed its record.
     void put(Instant now, std::string_view name, const ReplicaRecord &record);
 
@@ -78,8 +91,18 @@
     /// Takes a whole listing: what it lacks has vanished.
     void replaceAll(Instant now, std::span<const ListedReplica> listing, bool storeWasAway);
 
-    /// Drops the replicas whose entries did not come back, and forgets old marks; returns whether a replica was
-    /// dropped.
+    /// Takes the whole listing of a store that has come back from an older copy. Entries of starts that were seen to go
+    /// since are held back until they are written again, or until copyAllowance has passed; what it lacks has lapsed.
+    void replaceFromCopy(Instant now, std::span<const ListedReplica> listing);
+
+    /// The starts that another VM has to know of which may list an older copy, at most `mostDeparted`.
+    std::vector<DepartedStart> departed() const;
+
+    /// Takes what another VM has seen depart.
+    void noteDeparted(Instant now, std::span<const DepartedStart> starts);
+
+    /// Drops the replicas whose entries did not come back, takes those that were held back, and forgets old marks;
+    /// returns whether a replica was dropped or taken.
     bool expire(Instant now);
 
     /// When expire() has something to do next.
@@ -99,11 +122,25 @@
         auto operator<=>(const Start &) const = default;
     };
 
-    static Start startOf(const RegisteredReplica &replica);
+    /// An entry of an older copy that does not count yet.
+    struct HeldBack
+    {
+        ReplicaRecord record;
+        Instant until;
+    };
+
+    static constexpr std::size_t mostDeparted = 512;
+
+    static Start startOf(std::string_view name, const ReplicaRecord &record);
     void noteLeaving(Instant now, RegisteredReplica &replica);
+    void drop(Instant now, const std::string &name);
+    bool isOutdated(std::string_view name, const ReplicaRecord &record) const;
+    bool isHeldBack(std::string_view name, const ReplicaRecord &record) const;
 
     std::map<std::string, RegisteredReplica, std::less<>> known;
     std::map<Start, Instant> leaving; ///< Starts that leave, and when that was last noted.
+    std::map<Start, Instant> removed; ///< Starts whose entries were removed, and when.
+    std::map<std::string, HeldBack, std::less<>> heldBack; ///< By name.
     std::uint64_t lastEndpoint = 0;
 };
 
--- a/include/hickoryshore/statesync/prefix_follower.h
+++ b/include/hickoryshore/statesync/prefix_follower.h
@@ -12,6 +12,7 @@
 
 #include "hickoryshore/base/time.h"
 
+#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -24,12 +25,25 @@
 
 namespace hickoryshore {
 
+/// A state of the store. A store that comes back from an older copy begins a new era and gives numbers out again, so
+/// that numbers are ordered within one era only, and any state of a later era is newer.
+struct StoreRevision
+{
+    std::uint64_t era = 0;
+    std::uint64_t number = 0; ///< Zero: nothing is known.
+
+    auto operator<=>(const StoreRevision &) const = default;
+};
+
+/// The revision as text, "era.number".
+std::string storeRevisionText(const StoreRevision &revision);
+
 /// A key of the store with its value.
 struct StoreItem
 {
     std::string key;
     std::string value;
-    std::uint64_t revision = 0; ///< Of its last change.
+    std::uint64_t revision = 0; ///< Number of its last change, in the era of what it was read from.
 };
 
 /// One page of a listing.
@@ -37,7 +51,7 @@
 {
     std::vector<StoreItem> items;
     bool hasMore = false;
-    std::uint64_t asOf = 0; ///< The store's revision.
+    StoreRevision asOf; ///< The store's revision.
     bool storeWasAway = false; ///< A peer tells this of the store that it follows.
 };
 
@@ -46,14 +60,14 @@
 {
     std::string key;
     std::optional<std::string> value;
-    std::uint64_t revision = 0;
+    std::uint64_t revision = 0; ///< Its number, in the era of what it was read from.
 };
 
 /// What a watch brought; no changes where its time was over.
 struct StoreChanges
 {
     std::vector<StoreChange> changes;
-    std::uint64_t asOf = 0; ///< From here the next watch continues.
+    StoreRevision asOf; ///< From here the next watch continues.
     bool storeWasAway = false; ///< A peer tells this of the store that it follows.
 };
 
@@ -69,7 +83,7 @@
 /// Wait for changes after the revision.
 struct WatchKeys
 {
-    std::uint64_t after = 0;
+    StoreRevision after;
 };
 
 /// The whole state of the prefix.
@@ -77,6 +91,7 @@
 {
     std::vector<StoreItem> items;
     bool storeWasAway = false; ///< Keys may be missing only because the store was away.
+    bool fromOlderCopy = false; ///< The store has come back from a copy: keys may be back that had been removed since.
 };
 
 /// One change of it.
@@ -95,6 +110,9 @@
 using FollowerAction = std::variant<ListKeys, WatchKeys, TakeListing, TakeChange, StoreReachable>;
 
 /// Follows one prefix. Not thread-safe.
+///
+/// A state of a later era replaces the known one, though its number may be lower. A listing that is older than what is
+/// known takes nothing back, and the next one waits for longer.
 class PrefixFollower
 {
 public:
@@ -106,6 +124,9 @@
     /// the store counts each call.
     static constexpr Duration watchInterval = std::chrono::milliseconds(300);
 
+    /// Where a watch tells of a new era, the listing follows within this time: all VMs learn of it at once.
+    static constexpr Duration listingSpread = std::chrono::milliseconds(100);
+
     /// The seed spreads the retries of several VMs.
     explicit PrefixFollower(std::uint64_t seed);
 
@@ -121,7 +142,7 @@
     std::optional<Instant> nextTimer() const;
 
     /// The store's revision up to which the state is known; zero while nothing is.
-    std::uint64_t asOf() const;
+    StoreRevision asOf() const;
 
     /// Whether the last call to the store failed, or none has been answered yet.
     bool isCutOff() const;
@@ -132,8 +153,9 @@
     /// The known state, for peers.
     std::vector<StoreItem> items() const;
 
-    /// The changes since a revision, for peers; nothing where they are no longer known.
-    std::optional<std::vector<StoreChange>> changesAfter(std::uint64_t revision) const;
+    /// The changes since a revision, for peers; nothing where they are no longer known, or the revision is of an
+    /// earlier era.
+    std::optional<std::vector<StoreChange>> changesAfter(const StoreRevision &revision) const;
 
 private:
     struct Value
@@ -144,18 +166,25 @@
 
     void next(Instant now, std::vector<FollowerAction> &actions);
     void answered(std::vector<FollowerAction> &actions);
-    void adopt(Instant now, std::vector<StoreItem> items, std::uint64_t asOf, std::vector<FollowerAction> &actions);
+    bool adopt(Instant now,
+               std::vector<StoreItem> items,
+               const StoreRevision &asOf,
+               std::vector<FollowerAction> &actions);
+    void backOff(Instant now);
+    Duration drawDelay(Duration least, Duration most);
 
     std::map<std::string, Value, std::less<>> state;
     std::vector<StoreItem> listed; ///< Pages of a listing that is not complete.
-    std::uint64_t listedAsOf = 0;
-    std::uint64_t knownAsOf = 0;
+    StoreRevision listedAsOf;
+    StoreRevision knownAsOf;
+    StoreRevision watchedFrom; ///< Where the last watch began.
     bool mustList = true;
     bool reached = false;
-    std::deque<StoreChange> log; ///< The latest changes.
-    std::uint64_t logStart = 0; ///< All changes since this revision are in the log.
+    std::deque<StoreChange> log; ///< The latest changes, all of the known era.
+    std::uint64_t logStart = 0; ///< All changes since this number are in the log.
     int failures = 0; ///< In a row.
     Instant watchedAt; ///< When the last watch began.
+    Instant relistedAt; ///< When a listing was last due since history was gone.
     std::optional<Instant> retryAt; ///< When the next call is due.
     std::optional<Instant> failedAt; ///< The last time.
     std::minstd_rand random;
--- a/src/hickoryshore/entry/entry_vm.cpp
+++ b/src/hickoryshore/entry/entry_vm.cpp
@@ -185,7 +185,7 @@
                 },
             .onRevisionHeard =
                 [this](Revision revision, const VmId &from) {
-                    this->state.onRevisionHeard(revision, from);
+                    this->state.onVersionHeard(revision.value, from);
                 },
             .onMemberChanged =
                 [this](const MemberChangedAction &change) {
@@ -232,7 +232,7 @@
     this->callers.setBounds(listenerSettings(table->callers));
     // Not known yet while the first listing is under way.
     this->loop.post([this] {
-        this->membership->setConfigRevision(this->state.revision());
+        this->membership->setConfigRevision({this->state.version()});
     });
 }
 
@@ -273,7 +273,9 @@
 
 void EntryVm::answerPeer(HttpCallId call, const HttpServerRequest &request)
 {
-    if (const auto asked = parsePeerTarget(request.target)) {
+    if (request.target == departedPath) {
+        this->peers.answer(call, {.body = encodeDeparted(this->state.departedReplicas())});
+    } else if (const auto asked = parsePeerTarget(request.target)) {
         this->state.answerPeer(*asked, [this, call](const HttpAnswer &answer) {
             this->peers.answer(call, answer);
         });
@@ -298,9 +300,13 @@
         Gauge{"requests_in_flight", "Requests that await their answer", static_cast<double>(this->requests.inFlight())},
         Gauge{"replica_connections", "Open connections to replicas", static_cast<double>(connections.open)},
         Gauge{"replica_connections_opened", "Since the start", static_cast<double>(connections.opened)},
+        Gauge{"replica_answers_too_long",
+              "Closed since the answers together took too much memory",
+              static_cast<double>(connections.closedAsTooLong)},
         Gauge{"caller_connections", "Open connections of callers", static_cast<double>(this->callers.connections())},
         Gauge{"members", "Known VMs", static_cast<double>(this->members->members.size())},
-        Gauge{"configuration_revision", "Of the routes in force", static_cast<double>(this->state.revision().value)},
+        Gauge{"configuration_version", "Of the routes in force", static_cast<double>(this->state.version())},
+        Gauge{"store_era", "Of the store, as far as known", static_cast<double>(this->state.era())},
         Gauge{"store_reached", "Whether the store answers", this->state.isCutOff() ? 0.0 : 1.0},
         Gauge{"log_lines_dropped", "Since the start", static_cast<double>(droppedLogLines())}};
     return this->metrics.prometheusText(gauges) + this->requests.latencyText();
--- a/src/hickoryshore/entry/state_service.cpp
+++ b/src/hickoryshore/entry/state_service.cpp
@@ -33,6 +33,8 @@
 /// The same where none does: entries of live replicas are back within two seconds of the store's return, and a caller
 /// whose time is shorter comes back earlier.
 constexpr Duration comeBackLater = 1s;
+/// So many other VMs are asked at the start which replicas have departed: one may have started just now, too.
+constexpr int departedSources = 3;
 constexpr int statusUnavailable = 503;
 constexpr int statusGone = 410;
 constexpr std::string_view slice = "state";
@@ -71,6 +73,7 @@
     });
     this->loop.every(periodicCheck, [this] {
         this->askPeerIfLate();
+        this->askDeparted();
         this->expireReplicas();
         this->answerWaiting();
     });
@@ -102,7 +105,7 @@
                   .slice = slice,
                   .event = reach->reachable ? "storeReached" : "storeLost",
                   .fields = {{"prefix", this->prefixes[which].name},
-                             {"asOf", std::to_string(this->prefixes[which].follower.asOf())}}});
+                             {"asOf", storeRevisionText(this->prefixes[which].follower.asOf())}}});
     }
 }
 
@@ -171,10 +174,13 @@
 void StateService::takeListing(Followed which, const TakeListing &listing)
 {
     this->prefixes[which].listed = true;
+    if (listing.fromOlderCopy) {
+        this->followEra(which);
+    }
     if (which == Configuration) {
         for (const StoreItem &item : listing.items) {
             if (item.key == this->dialect.configurationKey) {
-                this->takeRouteTable(item.value, item.revision);
+                this->takeRouteTable(item.value);
             }
         }
         return;
@@ -183,12 +189,16 @@
     for (const StoreItem &item : listing.items) {
         replicas.push_back(this->readReplica(item.key, item.value));
     }
-    this->registry.replaceAll(monotonicNow(), replicas, listing.storeWasAway);
+    if (listing.fromOlderCopy) {
+        this->registry.replaceFromCopy(monotonicNow(), replicas);
+    } else {
+        this->registry.replaceAll(monotonicNow(), replicas, listing.storeWasAway);
+    }
     writeLog({.slice = slice,
               .event = "replicasListed",
               .fields = {{"entries", std::to_string(listing.items.size())},
                          {"replicas", std::to_string(this->registry.replicas().size())},
-                         {"asOf", std::to_string(this->prefixes[which].follower.asOf())},
+                         {"asOf", storeRevisionText(this->prefixes[which].follower.asOf())},
                          {"storeWasAway", listing.storeWasAway ? "true" : "false"}}});
     this->replicaChanges = 1;
 }
@@ -198,7 +208,7 @@
     const StoreChange &change = taken.change;
     if (which == Configuration) {
         if (change.key == this->dialect.configurationKey && change.value.has_value()) {
-            this->takeRouteTable(*change.value, change.revision);
+            this->takeRouteTable(*change.value);
         }
         return;
     }
@@ -233,7 +243,7 @@
                   .event = "replicasChanged",
                   .fields = {{"changes", std::to_string(this->replicaChanges)},
                              {"replicas", std::to_string(this->registry.replicas().size())},
-                             {"asOf", std::to_string(this->prefixes[Replicas].follower.asOf())}}});
+                             {"asOf", storeRevisionText(this->prefixes[Replicas].follower.asOf())}}});
     }
     this->replicaChanges = 0;
     this->hooks.onReplicas(this->registry);
@@ -258,7 +268,74 @@
     return replica;
 }
 
-void StateService::takeRouteTable(std::string_view text, std::uint64_t revision)
+/// The store has come back from an older copy: logs it, and looks for the other prefix, whose watch may wait for a
+/// number that the new era reaches late.
+void StateService::followEra(Followed which)
+{
+    const StoreRevision asOf = this->prefixes[which].follower.asOf();
+    writeLog({.level = LogLevel::Warn,
+              .slice = slice,
+              .event = "storeReturned",
+              .fields = {{"prefix", this->prefixes[which].name}, {"asOf", storeRevisionText(asOf)}}});
+    const Followed other = which == Configuration ? Replicas : Configuration;
+    if (this->prefixes[other].follower.asOf().era < asOf.era && !this->listingAside) {
+        this->listingAside = true;
+        this->listAside(other, {});
+    }
+}
+
+/// Lists a prefix beside its follower's own call, page by page.
+void StateService::listAside(Followed which, StorePage before)
+{
+    const std::string after = before.items.empty() ? std::string() : before.items.back().key;
+    this->calls.list(
+        this->prefixes[which].name, after, [this, which, whole = std::move(before)](PageResult result) mutable {
+            auto *page = std::get_if<StorePage>(&result);
+            const bool fits = page != nullptr && this->concerns(which, page->items)
+                && (whole.items.empty() || whole.asOf.era == page->asOf.era);
+            if (!fits) {
+                // The follower's own call ends sooner or later.
+                this->listingAside = false;
+                return;
+            }
+            whole.asOf = whole.items.empty() ? page->asOf : std::min(whole.asOf, page->asOf);
+            whole.storeWasAway = whole.storeWasAway || page->storeWasAway;
+            const bool hasMore = page->hasMore && !page->items.empty();
+            std::ranges::move(page->items, std::back_inserter(whole.items));
+            if (hasMore) {
+                this->listAside(which, std::move(whole));
+                return;
+            }
+            this->listingAside = false;
+            this->prefixes[which].follower.onPeerState(monotonicNow(), std::move(whole), this->actions);
+            this->perform(which);
+        });
+}
+
+/// Where the store has come back from an older copy, a VM that has just started can't know what departed since.
+void StateService::askDeparted()
+{
+    if (this->askingDeparted || this->departedCalls == departedSources || !this->isComplete()) {
+        return;
+    }
+    this->askingDeparted = this->store.askDeparted([this](std::optional<std::vector<DepartedStart>> starts) {
+        this->askingDeparted = false;
+        if (!starts.has_value()) {
+            return;
+        }
+        this->registry.noteDeparted(monotonicNow(), *starts);
+        this->replicaChanges += starts->size();
+        this->tellReplicas();
+    });
+    this->departedCalls += this->askingDeparted ? 1 : 0;
+}
+
+std::vector<DepartedStart> StateService::departedReplicas() const
+{
+    return this->registry.departed();
+}
+
+void StateService::takeRouteTable(std::string_view text)
 {
     std::shared_ptr<const RouteTable> table;
     try {
@@ -274,11 +351,18 @@
               .event = newer ? "configurationTaken" : "configurationIgnored",
               .fields = {{"version", std::to_string(table->version)},
                          {"before", std::to_string(before)},
-                         {"revision", std::to_string(revision)},
+                         {"asOf", storeRevisionText(this->prefixes[Configuration].follower.asOf())},
                          {"routes", std::to_string(table->routes.size())}}});
+    if (table->version == before && text != this->routesText) {
+        writeLog({.level = LogLevel::Error,
+                  .slice = slice,
+                  .event = "configurationConflict",
+                  .detail = "another text bears the version in force",
+                  .fields = {{"version", std::to_string(before)}}});
+    }
     if (newer) {
         this->routes = std::move(table);
-        this->routesRevision = {revision};
+        this->routesText = text;
         this->hooks.onRouteTable(this->routes);
     }
 }
@@ -304,12 +388,12 @@
     this->store.setMembers(this->members);
 }
 
-std::uint64_t StateService::known(Followed which) const
+StoreRevision StateService::known(Followed which) const
 {
-    return which == Configuration ? this->routesRevision.value : this->prefixes[which].follower.asOf();
+    return which == Configuration ? StoreRevision{.number = this->version()} : this->prefixes[which].follower.asOf();
 }
 
-void StateService::hear(Followed which, std::uint64_t revision, const VmId &from)
+void StateService::hear(Followed which, const StoreRevision &revision, const VmId &from)
 {
     Heard &newest = this->heard[which];
     if (newest.revision <= this->known(which)) {
@@ -321,21 +405,25 @@
     }
 }
 
-void StateService::onRevisionHeard(Revision revision, const VmId &from)
+void StateService::onVersionHeard(std::uint64_t version, const VmId &from)
 {
-    this->hear(Configuration, revision.value, from);
+    this->hear(Configuration, {.number = version}, from);
 }
 
 /// A watch that the store has lost without a sign waits as long as one without changes: another VM tells.
 void StateService::checkFreshness()
 {
-    const std::uint64_t after = this->known(Replicas);
-    this->store.askChanges(this->prefixes[Replicas].name, after, [this](const VmId &peer, const ChangesResult &result) {
-        const auto *changes = std::get_if<StoreChanges>(&result);
-        if (changes != nullptr && !changes->changes.empty()) {
-            this->hear(Replicas, changes->changes.back().revision, peer);
-        }
-    });
+    const StoreRevision after = this->known(Replicas);
+    this->store.askChanges(
+        this->prefixes[Replicas].name, after, [this](const Member &peer, const ChangesResult &result) {
+            const auto *changes = std::get_if<StoreChanges>(&result);
+            if (changes != nullptr && !changes->changes.empty()) {
+                this->hear(Replicas, {changes->asOf.era, changes->changes.back().revision}, peer.vm);
+            } else if (changes == nullptr && std::get<StoreFailure>(result) == StoreFailure::HistoryGone) {
+                // It is ahead by more than it remembers, or the store has come back from an older copy.
+                this->takeFrom(peer, Replicas);
+            }
+        });
 }
 
 void StateService::askPeerIfLate()
@@ -359,14 +447,18 @@
     }
     for (const Followed which : {Configuration, Replicas}) {
         if (which == Replicas || late == Configuration) {
-            this->store.listAt(
-                *peer, this->prefixes[which].name, [this, which, name = peer->vm.value](PageResult result) {
-                    this->takePeerState(which, std::move(result), name);
-                });
+            this->takeFrom(*peer, which);
         }
     }
 }
 
+void StateService::takeFrom(const Member &peer, Followed which)
+{
+    this->store.listAt(peer, this->prefixes[which].name, [this, which, name = peer.vm.value](PageResult result) {
+        this->takePeerState(which, std::move(result), name);
+    });
+}
+
 void StateService::takePeerState(Followed which, PageResult result, const std::string &peer)
 {
     auto *page = std::get_if<StorePage>(&result);
@@ -375,9 +467,19 @@
               .event = page == nullptr ? "peerGaveNoState" : "stateFromPeer",
               .fields = {{"peer", peer},
                          {"prefix", this->prefixes[which].name},
-                         {"asOf", std::to_string(page == nullptr ? 0 : page->asOf)},
-                         {"before", std::to_string(this->prefixes[which].follower.asOf())}}});
+                         {"asOf", page == nullptr ? "" : storeRevisionText(page->asOf)},
+                         {"before", storeRevisionText(this->prefixes[which].follower.asOf())}}});
     if (page != nullptr && this->concerns(which, page->items)) {
+        for (const StoreItem &item : page->items) {
+            // Whatever the store holds, the configuration of the highest version is in force.
+            if (which == Configuration && item.key == this->dialect.configurationKey) {
+                this->takeRouteTable(item.value);
+            }
+        }
+        if (which == Configuration && this->heard[which].from.value == peer) {
+            // What it told of and does not have is not asked for again.
+            this->heard[which].revision = this->known(which);
+        }
         this->prefixes[which].follower.onPeerState(monotonicNow(), std::move(*page), this->actions);
         this->perform(which);
     }
@@ -392,21 +494,37 @@
         }
         const Instant now = monotonicNow();
         if (!request.changesAfter.has_value()) {
-            answer({.body = encodePage({.items = prefix.follower.items(),
+            answer({.body = encodePage({.items = this->itemsForPeers(which),
                                         .asOf = prefix.follower.asOf(),
                                         .storeWasAway = prefix.follower.wasAway(now)})});
-        } else if (const auto changes = this->changesFor(which, *request.changesAfter, false)) {
+            return;
+        }
+        const StoreRevision after{request.era.value_or(prefix.follower.asOf().era), *request.changesAfter};
+        if (const auto changes = this->changesFor(which, after, false)) {
             answer(*changes);
         } else {
-            this->waiting.push_back({which, *request.changesAfter, now + request.wait, std::move(answer)});
+            this->waiting.push_back({which, after, now + request.wait, std::move(answer)});
         }
         return;
     }
     answer({.status = statusUnavailable});
 }
 
+/// The known state, with the configuration in force where the store holds an older one.
+std::vector<StoreItem> StateService::itemsForPeers(Followed which) const
+{
+    std::vector<StoreItem> items = this->prefixes[which].follower.items();
+    if (which == Configuration && this->routes != nullptr) {
+        const auto found = std::ranges::find(items, this->dialect.configurationKey, &StoreItem::key);
+        StoreItem &item = found != items.end() ? *found : items.emplace_back();
+        item.key = this->dialect.configurationKey;
+        item.value = this->routesText;
+    }
+    return items;
+}
+
 /// The answer to a peer that knows everything up to a revision; nothing where there is nothing new, unless wanted.
-std::optional<HttpAnswer> StateService::changesFor(Followed which, std::uint64_t after, bool evenNone) const
+std::optional<HttpAnswer> StateService::changesFor(Followed which, const StoreRevision &after, bool evenNone) const
 {
     const PrefixFollower &follower = this->prefixes[which].follower;
     auto changes = follower.changesAfter(after);
@@ -448,9 +566,14 @@
     return othersServe && !this->isComplete() ? comeBackToOthers : comeBackLater;
 }
 
-Revision StateService::revision() const
+std::uint64_t StateService::version() const
+{
+    return this->routes == nullptr ? 0 : this->routes->version;
+}
+
+std::uint64_t StateService::era() const
 {
-    return this->routesRevision;
+    return this->prefixes[Replicas].follower.asOf().era;
 }
 
 bool StateService::isCutOff() const
--- a/src/hickoryshore/entry/state_service_test.cpp
+++ b/src/hickoryshore/entry/state_service_test.cpp
@@ -39,8 +39,8 @@
     EventLoop loop{0};
     EntryDialect dialect = plainDialect();
     std::vector<StoreItem> replicas;
-    StoreChanges replicaChanges{.changes = {}, .asOf = listedAsOf};
-    StoreChanges routeChanges{.changes = {}, .asOf = listedAsOf};
+    StoreChanges replicaChanges{.changes = {}, .asOf = {0, listedAsOf}};
+    StoreChanges routeChanges{.changes = {}, .asOf = {0, listedAsOf}};
     int watches = 0;
     int replicasTold = 0;
     std::size_t replicasKnown = 0;
@@ -51,7 +51,7 @@
         return {
             .list =
                 [this](std::string_view prefix, std::string_view, const std::function<void(PageResult)> &completion) {
-                    StorePage page{.items = {}, .asOf = listedAsOf};
+                    StorePage page{.items = {}, .asOf = {0, listedAsOf}};
                     page.items = prefix == "routes" ? std::vector<StoreItem>{{"routes", "7", 3}} : this->replicas;
                     this->loop.post([completion, page] {
                         completion(page);
@@ -59,12 +59,12 @@
                 },
             .watch =
                 [this](std::string_view prefix,
-                       std::uint64_t,
+                       const StoreRevision &,
                        Duration,
                        const std::function<void(ChangesResult)> &completion) {
                     StoreChanges &next = prefix == "routes" ? this->routeChanges : this->replicaChanges;
                     if (++this->watches <= 2) {
-                        this->loop.post([completion, changes = std::exchange(next, {.asOf = listedAsOf})] {
+                        this->loop.post([completion, changes = std::exchange(next, {.asOf = {0, listedAsOf}})] {
                             completion(changes);
                         });
                     } else {
@@ -108,7 +108,7 @@
         this->replicaChanges.changes.push_back(
             {.key = "replicas/" + std::to_string(number), .value = "s", .revision = listedAsOf + 1 + number});
     }
-    this->replicaChanges.asOf = listedAsOf + 405;
+    this->replicaChanges.asOf = {0, listedAsOf + 405};
     this->run();
     BOOST_TEST(this->replicasKnown == 405U);
     BOOST_TEST(this->replicasTold == 2); // The listing, and the changes.
@@ -117,7 +117,7 @@
 BOOST_AUTO_TEST_CASE(a_configuration_is_taken_only_forwards)
 {
     this->routeChanges
-        = {.changes = {{"routes", "6", listedAsOf + 1}, {"routes", "9", listedAsOf + 2}}, .asOf = listedAsOf + 2};
+        = {.changes = {{"routes", "6", listedAsOf + 1}, {"routes", "9", listedAsOf + 2}}, .asOf = {0, listedAsOf + 2}};
     this->run();
     BOOST_TEST(this->versions == (std::vector<std::uint64_t>{7, 9}), boost::test_tools::per_element());
 }
@@ -133,15 +133,15 @@
 {
     // The store lists, and never answers a watch; a peer has heard of one replica more.
     StoreAccess store = this->access();
-    store.watch = [](std::string_view, std::uint64_t, Duration, const std::function<void(ChangesResult)> &) {};
+    store.watch = [](std::string_view, const StoreRevision &, Duration, const std::function<void(ChangesResult)> &) {};
     const StoreChange change{.key = "replicas/a", .value = "s", .revision = listedAsOf + 1};
     HttpListener peer(
         this->loop, "127.0.0.1:18777", {}, {.onRequest = [&](HttpCallId call, const auto &request) {
             const auto asked = parsePeerTarget(request.target);
-            const StorePage page{.items = {{change.key, *change.value, change.revision}}, .asOf = change.revision};
+            const StorePage page{.items = {{change.key, *change.value, change.revision}}, .asOf = {0, change.revision}};
             peer.answer(call,
                         {.body = asked->changesAfter.has_value()
-                             ? encodeChanges({.changes = {change}, .asOf = change.revision})
+                             ? encodeChanges({.changes = {change}, .asOf = {0, change.revision}})
                              : encodePage(page)});
         }});
     StateService state(this->loop,
@@ -171,4 +171,121 @@
     BOOST_TEST(this->replicasKnown == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(an_older_configuration_in_a_copy_of_the_store_is_not_put_in_force_nor_handed_on)
+{
+    // The watch of the configuration tells of a new era, whose copy has version 6 where 7 is in force.
+    bool returned = false;
+    StoreAccess store = this->access();
+    store.list = [this, &returned](std::string_view prefix, std::string_view, const auto &completion) {
+        const StoreRevision asOf = returned ? StoreRevision{1, listedAsOf - 4} : StoreRevision{0, listedAsOf};
+        StorePage page{.items = {}, .asOf = asOf};
+        if (prefix == "routes") {
+            page.items = {{"routes", returned ? "6" : "7", 3}};
+        }
+        this->loop.post([completion, page] {
+            completion(page);
+        });
+    };
+    store.watch = [this, &returned](std::string_view, const StoreRevision &after, Duration, const auto &completion) {
+        if (after.era == 0) {
+            returned = true;
+            this->loop.post([completion] {
+                completion(StoreFailure::HistoryGone);
+            });
+        }
+    };
+    std::vector<std::uint64_t> taken;
+    StateService state(this->loop,
+                       this->dialect,
+                       std::move(store),
+                       1,
+                       1,
+                       {.onRouteTable =
+                            [&taken](const std::shared_ptr<const RouteTable> &table) {
+                                taken.push_back(table->version);
+                            },
+                        .onReplicas = [](const ReplicaRegistry &) {}});
+    state.start();
+    this->loop.after(1s, [this] {
+        this->loop.stop();
+    });
+    this->loop.run();
+    BOOST_TEST(taken == std::vector<std::uint64_t>{7}, boost::test_tools::per_element());
+    BOOST_TEST(state.version() == 7U);
+    BOOST_TEST(state.era() == 1U);
+    std::string handedOn;
+    state.answerPeer({.prefix = "routes"}, [&handedOn](const HttpAnswer &answer) {
+        handedOn = answer.body;
+    });
+    BOOST_TEST(handedOn
+               == encodePage({.items = {{"routes", "7", 3}}, .asOf = {1, listedAsOf - 4}, .storeWasAway = true}));
+}
+
+/// A peer that has a newer configuration than the copy from which the store came back, and has seen a replica go.
+struct InformedPeer
+{
+    EventLoop &loop;
+    int listings = 0;
+    HttpListener listener{
+        loop, "127.0.0.1:18778", {}, {.onRequest = [this](HttpCallId call, const HttpServerRequest &request) {
+            this->answer(call, request);
+        }}};
+
+    void answer(HttpCallId call, const HttpServerRequest &request)
+    {
+        if (request.target == departedPath) {
+            const std::vector<DepartedStart> gone = {{.name = "a", .address = "127.0.0.1:1", .removed = true}};
+            this->listener.answer(call, {.body = encodeDeparted(gone)});
+            return;
+        }
+        const auto asked = parsePeerTarget(request.target);
+        if (asked->changesAfter.has_value()) {
+            this->listener.answer(call, {.body = encodeChanges({.changes = {}, .asOf = {0, listedAsOf}})});
+            return;
+        }
+        ++this->listings;
+        StorePage page{.items = {}, .asOf = {0, listedAsOf}};
+        if (asked->prefix == "routes") {
+            page.items = {{"routes", "9", 3}};
+        }
+        this->listener.answer(call, {.body = encodePage(page)});
+    }
+};
+
+BOOST_AUTO_TEST_CASE(a_vm_that_starts_on_an_older_copy_takes_from_its_peers_what_they_know)
+{
+    this->replicas = {{"replicas/a", "s", 1}, {"replicas/b", "s", 2}};
+    StoreAccess store = this->access();
+    store.watch = [](std::string_view, const StoreRevision &, Duration, const std::function<void(ChangesResult)> &) {};
+    InformedPeer peer{this->loop};
+    StateService state(this->loop,
+                       this->dialect,
+                       std::move(store),
+                       18778,
+                       1,
+                       {.onRouteTable =
+                            [this](const std::shared_ptr<const RouteTable> &table) {
+                                this->versions.push_back(table->version);
+                            },
+                        .onReplicas =
+                            [this](const ReplicaRegistry &registry) {
+                                this->replicasKnown = registry.replicas().size();
+                            }});
+    MembershipView view{.self = {"vm-0"}, .members = {}};
+    for (const char *vm : {"vm-0", "vm-1"}) {
+        view.members.push_back(
+            {.vm = {vm}, .dataCentre = {"north"}, .address = "127.0.0.1", .processId = 1, .configRevision = {9}});
+    }
+    state.setMembers(std::make_shared<MembershipView>(view));
+    state.onVersionHeard(9, {"vm-1"});
+    state.start();
+    this->loop.after(2s, [this] {
+        this->loop.stop();
+    });
+    this->loop.run();
+    BOOST_TEST(this->versions == (std::vector<std::uint64_t>{7, 9}), boost::test_tools::per_element());
+    BOOST_TEST(this->replicasKnown == 1U);
+    BOOST_TEST(peer.listings <= 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/hickoryshore/entry/store_sharing.cpp
+++ b/src/hickoryshore/entry/store_sharing.cpp
@@ -35,6 +35,7 @@
 constexpr std::string_view watchPath = "/v1/store/watch?prefix=";
 constexpr std::string_view afterKey = "&after=";
 constexpr std::string_view waitKey = "&waitMs=";
+constexpr std::string_view eraKey = "&era=";
 
 std::uint64_t numberAt(std::string_view text)
 {
@@ -46,10 +47,10 @@
 std::optional<StorePage> decodePage(std::string_view body)
 {
     wire::FollowedPrefix wire;
-    if (!wire.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+    if (!wire.ParseFromArray(body.data(), static_cast<int>(body.size())) || !wire.has_era()) {
         return std::nullopt;
     }
-    StorePage page{.items = {}, .asOf = wire.as_of(), .storeWasAway = wire.store_was_away()};
+    StorePage page{.items = {}, .asOf = {wire.era(), wire.as_of()}, .storeWasAway = wire.store_was_away()};
     for (const wire::FollowedKey &key : wire.keys()) {
         page.items.push_back({key.key(), key.value(), key.revision()});
     }
@@ -59,10 +60,10 @@
 std::optional<StoreChanges> decodeChanges(std::string_view body)
 {
     wire::FollowedPrefix wire;
-    if (!wire.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+    if (!wire.ParseFromArray(body.data(), static_cast<int>(body.size())) || !wire.has_era()) {
         return std::nullopt;
     }
-    StoreChanges changes{.changes = {}, .asOf = wire.as_of(), .storeWasAway = wire.store_was_away()};
+    StoreChanges changes{.changes = {}, .asOf = {wire.era(), wire.as_of()}, .storeWasAway = wire.store_was_away()};
     for (const wire::FollowedKey &key : wire.keys()) {
         StoreChange change{.key = key.key(), .value = std::nullopt, .revision = key.revision()};
         if (!key.removed()) {
@@ -198,7 +199,7 @@
                 },
             .watch =
                 [this](std::string_view prefix,
-                       std::uint64_t after,
+                       const StoreRevision &after,
                        Duration wait,
                        std::function<void(ChangesResult)> completion) {
                     this->watch(prefix, after, wait, std::move(completion));
@@ -207,16 +208,20 @@
 
 void StoreSharing::listAt(const Member &peer, std::string_view prefix, std::function<void(PageResult)> completion)
 {
-    const std::string server = peer.address + ":" + std::to_string(this->peerPort);
-    call<PageResult>(*this->peers, server, {.prefix = std::string(prefix)}, decodePage, std::move(completion));
+    call<PageResult>(
+        *this->peers, this->serverOf(peer), {.prefix = std::string(prefix)}, decodePage, std::move(completion));
 }
 
-void StoreSharing::askChanges(std::string_view prefix,
-                              std::uint64_t after,
-                              std::function<void(const VmId &, ChangesResult)> completion)
+std::string StoreSharing::serverOf(const Member &peer) const
 {
-    if (this->members == nullptr || this->source().has_value()) {
-        return;
+    return peer.address + ":" + std::to_string(this->peerPort);
+}
+
+/// Another VM that has told of a configuration; nullptr where there is none.
+const Member *StoreSharing::drawInformed()
+{
+    if (this->members == nullptr) {
+        return nullptr;
     }
     std::vector<const Member *> able;
     for (const Member &member : this->members->members) {
@@ -224,17 +229,41 @@
             able.push_back(&member);
         }
     }
-    if (able.empty()) {
+    return able.empty() ? nullptr : able[this->random() % able.size()];
+}
+
+bool StoreSharing::askDeparted(std::function<void(std::optional<std::vector<DepartedStart>>)> completion)
+{
+    const Member *peer = this->drawInformed();
+    if (peer == nullptr) {
+        return false;
+    }
+    HttpExchange exchange;
+    exchange.request = formatHttpRequest("GET", departedPath, this->serverOf(*peer), {});
+    exchange.timeout = peerTimeout;
+    exchange.onEnd = [completion = std::move(completion)](const HttpExchangeEnd &end) {
+        const bool answered = !end.failure.has_value() && end.response.status == statusOk;
+        completion(answered ? decodeDeparted(end.response.body) : std::nullopt);
+    };
+    this->peers->start(this->serverOf(*peer), std::move(exchange));
+    return true;
+}
+
+void StoreSharing::askChanges(std::string_view prefix,
+                              const StoreRevision &after,
+                              std::function<void(const Member &, ChangesResult)> completion)
+{
+    const Member *peer = this->source().has_value() ? nullptr : this->drawInformed();
+    if (peer == nullptr) {
         return;
     }
-    const Member &peer = *able[this->random() % able.size()];
     call<ChangesResult>(
         *this->peers,
-        peer.address + ":" + std::to_string(this->peerPort),
-        {.prefix = std::string(prefix), .changesAfter = after},
+        this->serverOf(*peer),
+        {.prefix = std::string(prefix), .changesAfter = after.number, .era = after.era},
         decodeChanges,
-        std::function<void(ChangesResult)>([vm = peer.vm, completion = std::move(completion)](ChangesResult result) {
-            completion(vm, std::move(result));
+        std::function<void(ChangesResult)>([asked = *peer, completion = std::move(completion)](ChangesResult result) {
+            completion(asked, std::move(result));
         }));
 }
 
@@ -254,7 +283,7 @@
 }
 
 void StoreSharing::watch(std::string_view prefix,
-                         std::uint64_t after,
+                         const StoreRevision &after,
                          Duration wait,
                          std::function<void(ChangesResult)> completion)
 {
@@ -268,10 +297,12 @@
         this->store.watch(prefix, after, wait, std::move(counted));
         return;
     }
-    const std::string server = peer->address + ":" + std::to_string(this->peerPort);
     call<ChangesResult>(*this->peers,
-                        server,
-                        {.prefix = std::string(prefix), .changesAfter = after, .wait = std::min(wait, longestPeerWait)},
+                        this->serverOf(*peer),
+                        {.prefix = std::string(prefix),
+                         .changesAfter = after.number,
+                         .era = after.era,
+                         .wait = std::min(wait, longestPeerWait)},
                         decodeChanges,
                         std::function<void(ChangesResult)>(std::move(counted)));
 }
@@ -281,12 +312,17 @@
     if (!request.changesAfter.has_value()) {
         return std::string(listPath).append(request.prefix);
     }
-    return std::string(watchPath)
-        .append(request.prefix)
-        .append(afterKey)
-        .append(std::to_string(*request.changesAfter))
-        .append(waitKey)
-        .append(std::to_string(ceilMilliseconds(request.wait)));
+    std::string target = std::string(watchPath)
+                             .append(request.prefix)
+                             .append(afterKey)
+                             .append(std::to_string(*request.changesAfter))
+                             .append(waitKey)
+                             .append(std::to_string(ceilMilliseconds(request.wait)));
+    // Last, since VMs that know of no era read the others up to it.
+    if (request.era.has_value()) {
+        target.append(eraKey).append(std::to_string(*request.era));
+    }
+    return target;
 }
 
 std::optional<PeerStoreRequest> parsePeerTarget(std::string_view target)
@@ -301,15 +337,22 @@
     }
     const std::uint64_t waitMs = std::min<std::uint64_t>(numberAt(target.substr(wait + waitKey.size())),
                                                          static_cast<std::uint64_t>(longestPeerWait / 1ms));
+    const std::size_t era = target.find(eraKey);
+    std::optional<std::uint64_t> eraNumber;
+    if (era != std::string_view::npos) {
+        eraNumber = numberAt(target.substr(era + eraKey.size()));
+    }
     return PeerStoreRequest{.prefix = std::string(target.substr(watchPath.size(), after - watchPath.size())),
                             .changesAfter = numberAt(target.substr(after + afterKey.size())),
+                            .era = eraNumber,
                             .wait = std::chrono::milliseconds(waitMs)};
 }
 
 std::string encodePage(const StorePage &page)
 {
     wire::FollowedPrefix wire;
-    wire.set_as_of(page.asOf);
+    wire.set_as_of(page.asOf.number);
+    wire.set_era(page.asOf.era);
     wire.set_store_was_away(page.storeWasAway);
     for (const StoreItem &item : page.items) {
         wire::FollowedKey &key = *wire.add_keys();
@@ -323,7 +366,8 @@
 std::string encodeChanges(const StoreChanges &changes)
 {
     wire::FollowedPrefix wire;
-    wire.set_as_of(changes.asOf);
+    wire.set_as_of(changes.asOf.number);
+    wire.set_era(changes.asOf.era);
     wire.set_store_was_away(changes.storeWasAway);
     for (const StoreChange &change : changes.changes) {
         wire::FollowedKey &key = *wire.add_keys();
@@ -335,4 +379,33 @@
     return wire.SerializeAsString();
 }
 
+std::string encodeDeparted(std::span<const DepartedStart> starts)
+{
+    wire::DepartedReplicas wire;
+    for (const DepartedStart &start : starts) {
+        wire::DepartedReplica &replica = *wire.add_replicas();
+        replica.set_name(start.name);
+        replica.set_address(start.address);
+        replica.set_started_ms(start.started.milliseconds);
+        replica.set_removed(start.removed);
+    }
+    return wire.SerializeAsString();
+}
+
+std::optional<std::vector<DepartedStart>> decodeDeparted(std::string_view body)
+{
+    wire::DepartedReplicas wire;
+    if (!wire.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+        return std::nullopt;
+    }
+    std::vector<DepartedStart> starts;
+    for (const wire::DepartedReplica &replica : wire.replicas()) {
+        starts.push_back({.name = replica.name(),
+                          .address = replica.address(),
+                          .started = {replica.started_ms()},
+                          .removed = replica.removed()});
+    }
+    return starts;
+}
+
 } // namespace hickoryshore
--- a/src/hickoryshore/entry/store_sharing_test.cpp
+++ b/src/hickoryshore/entry/store_sharing_test.cpp
@@ -97,3 +97,28 @@
     BOOST_TEST((watch->wait == 1500ms));
     BOOST_TEST(!parsePeerTarget("/metrics").has_value());
 }
+
+BOOST_AUTO_TEST_CASE(vms_with_and_without_eras_read_each_others_requests)
+{
+    const std::string target = peerTarget({.prefix = "a/", .changesAfter = 17, .era = 3, .wait = 1500ms});
+    const auto watch = parsePeerTarget(target);
+    BOOST_TEST(watch->era.value() == 3U);
+    BOOST_TEST(watch->changesAfter.value() == 17U);
+    BOOST_TEST((watch->wait == 1500ms));
+    // One that knows of no era leaves it out, and reads no further than the wait.
+    BOOST_TEST(!parsePeerTarget("/v1/store/watch?prefix=a/&after=17&waitMs=1500")->era.has_value());
+    BOOST_TEST(target.starts_with("/v1/store/watch?prefix=a/&after=17&waitMs=1500&"));
+}
+
+BOOST_AUTO_TEST_CASE(what_departed_is_read_back)
+{
+    const std::vector<DepartedStart> starts
+        = {{.name = "a", .address = "1:1", .started = {5}, .removed = true}, {.name = "b", .address = "2:1"}};
+    const auto read = decodeDeparted(encodeDeparted(starts));
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->size() == 2U);
+    BOOST_TEST(read->at(0).removed);
+    BOOST_TEST((read->at(0).started == WallTime{5}));
+    BOOST_TEST(read->at(1).address == "2:1");
+    BOOST_TEST(!decodeDeparted("\x0f").has_value());
+}
--- a/src/hickoryshore/registry/replica_registry_test.cpp
+++ b/src/hickoryshore/registry/replica_registry_test.cpp
@@ -115,3 +115,72 @@
     BOOST_TEST(registry.replicas().size() == 1);
     BOOST_TEST(registry.replicas().contains("a"));
 }
+
+BOOST_AUTO_TEST_CASE(an_older_copy_does_not_bring_back_a_replica_that_went_since)
+{
+    ReplicaRegistry registry;
+    registry.put(start, "gone", record("1:1"));
+    registry.put(start, "lives", record("2:1"));
+    registry.remove(start, "gone", false);
+    const std::vector<ListedReplica> copy = {{"gone", record("1:1")}, {"lives", record("2:1")}};
+    registry.replaceFromCopy(start + 1s, copy);
+    BOOST_TEST(registry.replicas().size() == 1);
+    // A second listing of the same copy changes nothing.
+    registry.replaceAll(start + 2s, copy, true);
+    BOOST_TEST(!registry.replicas().contains("gone"));
+    registry.remove(start + 5s, "gone", false);
+    BOOST_TEST(!registry.expire(start + 60s));
+    BOOST_TEST(registry.replicas().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_of_an_older_copy_counts_once_it_is_written_again_or_has_outlived_its_lease)
+{
+    ReplicaRegistry registry;
+    for (const char *name : {"a", "b"}) {
+        registry.put(start, name, record("1:1"));
+        registry.remove(start, name, false);
+    }
+    const std::vector<ListedReplica> copy = {{"a", record("1:1")}, {"b", record("1:1")}};
+    registry.replaceFromCopy(start + 1s, copy);
+    BOOST_TEST(registry.replicas().empty());
+    registry.put(start + 2s, "a", record("1:1"));
+    BOOST_TEST(registry.replicas().contains("a"));
+    BOOST_TEST((registry.nextExpiry() == start + 1s + ReplicaRegistry::copyAllowance));
+    BOOST_TEST(registry.expire(start + 1s + ReplicaRegistry::copyAllowance));
+    BOOST_TEST(registry.replicas().contains("b"));
+}
+
+BOOST_AUTO_TEST_CASE(an_older_copy_neither_revives_an_earlier_start_nor_drops_a_live_replica_that_it_lacks)
+{
+    ReplicaRegistry registry;
+    registry.put(start, "restarted", record("1:1", 2));
+    registry.put(start, "recent", record("2:1"));
+    registry.replaceFromCopy(start, std::vector<ListedReplica>{{"restarted", record("1:1", 1)}});
+    BOOST_TEST(registry.replicas().size() == 2);
+    BOOST_TEST((registry.replicas().at("restarted").record.started == WallTime{2}));
+    registry.put(start + 1s, "recent", record("2:1"));
+    registry.put(start + 1s, "restarted", record("1:1", 2));
+    registry.expire(start + 4s);
+    BOOST_TEST(registry.replicas().size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_vm_that_starts_on_an_older_copy_learns_from_another_one_what_left)
+{
+    ReplicaRegistry veteran;
+    for (const char *name : {"draining", "gone", "lives"}) {
+        veteran.put(start, name, record("1:1"));
+    }
+    ReplicaRecord draining = record("1:1");
+    draining.draining = true;
+    veteran.put(start, "draining", draining);
+    veteran.remove(start, "gone", false);
+    ReplicaRegistry fresh;
+    fresh.replaceAll(
+        start,
+        std::vector<ListedReplica>{{"draining", record("1:1")}, {"gone", record("1:1")}, {"lives", record("1:1")}},
+        false);
+    fresh.noteDeparted(start, veteran.departed());
+    BOOST_TEST(fresh.replicas().at("draining").leaving);
+    BOOST_TEST(!fresh.replicas().contains("gone"));
+    BOOST_TEST(!fresh.replicas().at("lives").leaving);
+}
--- a/src/hickoryshore/statesync/prefix_follower.cpp
+++ b/src/hickoryshore/statesync/prefix_follower.cpp
@@ -28,6 +28,11 @@
 
 } // namespace
 
+std::string storeRevisionText(const StoreRevision &revision)
+{
+    return std::to_string(revision.era) + "." + std::to_string(revision.number);
+}
+
 PrefixFollower::PrefixFollower(std::uint64_t seed)
     : random(static_cast<std::minstd_rand::result_type>(seed % (std::minstd_rand::modulus - 1) + 1))
 { }
@@ -45,6 +50,7 @@
     }
     if (!this->mustList) {
         this->watchedAt = now;
+        this->watchedFrom = this->knownAsOf;
         actions.emplace_back(WatchKeys{this->knownAsOf});
         return;
     }
@@ -53,7 +59,6 @@
 
 void PrefixFollower::answered(std::vector<FollowerAction> &actions)
 {
-    this->failures = 0;
     if (!this->reached) {
         this->reached = true;
         actions.emplace_back(StoreReachable{true});
@@ -73,29 +78,43 @@
         this->next(now, actions);
         return;
     }
-    // Pages are not read at one moment: the changes since the first one are watched for.
     this->failedAt = page.storeWasAway ? now : this->failedAt;
+    if (!this->listed.empty() && page.asOf.era != this->listedAsOf.era) {
+        // The store came back from a copy between two pages: those before tell of a state that is gone.
+        this->listed.clear();
+        this->retryAt = now + this->drawDelay(Duration(0), listingSpread);
+        return;
+    }
+    // Pages are not read at one moment: the changes since the first one are watched for.
     this->listedAsOf = this->listed.empty() ? page.asOf : std::min(this->listedAsOf, page.asOf);
     std::ranges::move(page.items, std::back_inserter(this->listed));
     if (!page.hasMore || page.items.empty()) {
+        if (!this->adopt(now, std::exchange(this->listed, {}), this->listedAsOf, actions)) {
+            // The watch that follows would be told to list anew.
+            this->backOff(now);
+            return;
+        }
+        this->failures = 0;
         this->mustList = false;
-        this->adopt(now, std::exchange(this->listed, {}), this->listedAsOf, actions);
     }
     this->next(now, actions);
 }
 
-void PrefixFollower::adopt(Instant now,
+/// Takes a whole state; returns false where it is older than what is known.
+bool PrefixFollower::adopt(Instant now,
                            std::vector<StoreItem> items,
-                           std::uint64_t asOf,
+                           const StoreRevision &asOf,
                            std::vector<FollowerAction> &actions)
 {
-    // A store that answers from an older state does not take back what is known.
     if (asOf < this->knownAsOf) {
-        return;
+        return false;
     }
+    const bool fromOlderCopy = this->knownAsOf.number > 0 && asOf.era > this->knownAsOf.era;
+    // What was written since the copy is written again, some of it later than this listing.
+    this->failedAt = fromOlderCopy ? now : this->failedAt;
     this->knownAsOf = asOf;
     this->log.clear();
-    this->logStart = asOf;
+    this->logStart = asOf.number;
     const std::map<std::string, Value, std::less<>> before = std::exchange(this->state, {});
     for (const StoreItem &item : items) {
         this->state[item.key] = {item.value, item.revision};
@@ -106,12 +125,30 @@
     if (isLapse(static_cast<std::size_t>(vanished), before.size())) {
         this->failedAt = now;
     }
-    actions.emplace_back(TakeListing{.items = std::move(items), .storeWasAway = this->wasAway(now)});
+    actions.emplace_back(
+        TakeListing{.items = std::move(items), .storeWasAway = this->wasAway(now), .fromOlderCopy = fromOlderCopy});
+    return true;
 }
 
 void PrefixFollower::onChanges(Instant now, StoreChanges changes, std::vector<FollowerAction> &actions)
 {
     this->answered(actions);
+    if (changes.asOf.era != this->watchedFrom.era) {
+        // These changes follow a number that the other era has given out again: some may be missing.
+        if (changes.asOf.era > this->knownAsOf.era) {
+            this->mustList = true;
+            this->retryAt = now + this->drawDelay(Duration(0), listingSpread);
+        } else {
+            this->next(now, actions);
+        }
+        return;
+    }
+    if (changes.asOf.era != this->knownAsOf.era) {
+        // A peer has handed over the state of a later era meanwhile.
+        this->next(now, actions);
+        return;
+    }
+    this->failures = 0;
     const auto vanished = std::ranges::count_if(changes.changes, [this](const StoreChange &change) {
         return !change.value.has_value() && this->state.contains(change.key);
     });
@@ -120,7 +157,7 @@
     for (StoreChange &change : changes.changes) {
         // A peer may have handed over a newer state, in which a key is gone, while this watch was under way.
         const auto found = this->state.find(change.key);
-        const bool known = change.revision <= this->knownAsOf;
+        const bool known = change.revision <= this->knownAsOf.number;
         if (known || (found != this->state.end() && found->second.revision >= change.revision)) {
             continue;
         }
@@ -146,7 +183,14 @@
     this->watchedAt = {};
     if (failure == StoreFailure::HistoryGone) {
         this->mustList = true;
-        this->next(now, actions);
+        // A store that keeps no history must not be listed over and over.
+        const Instant earliest = std::max(now, this->relistedAt + watchInterval);
+        this->relistedAt = earliest;
+        if (now < earliest) {
+            this->retryAt = earliest;
+        } else {
+            this->next(now, actions);
+        }
         return;
     }
     this->failedAt = now;
@@ -154,10 +198,21 @@
         this->reached = false;
         actions.emplace_back(StoreReachable{false});
     }
+    this->backOff(now);
+}
+
+/// The next call waits, for longer with each that brings nothing.
+void PrefixFollower::backOff(Instant now)
+{
     const Duration longest = std::min(longestRetry, firstRetry * (1 << std::min(this->failures, mostDoublings)));
     ++this->failures;
-    std::uniform_int_distribution<Duration::rep> delay(longest.count() / 2, longest.count());
-    this->retryAt = now + Duration(delay(this->random));
+    this->retryAt = now + this->drawDelay(longest / 2, longest);
+}
+
+Duration PrefixFollower::drawDelay(Duration least, Duration most)
+{
+    std::uniform_int_distribution<Duration::rep> delay(least.count(), most.count());
+    return Duration(delay(this->random));
 }
 
 void PrefixFollower::onPeerState(Instant now, StorePage state, std::vector<FollowerAction> &actions)
@@ -184,7 +239,7 @@
     return this->retryAt;
 }
 
-std::uint64_t PrefixFollower::asOf() const
+StoreRevision PrefixFollower::asOf() const
 {
     return this->knownAsOf;
 }
@@ -194,14 +249,17 @@
     return !this->reached;
 }
 
-std::optional<std::vector<StoreChange>> PrefixFollower::changesAfter(std::uint64_t revision) const
+std::optional<std::vector<StoreChange>> PrefixFollower::changesAfter(const StoreRevision &revision) const
 {
-    if (revision < this->logStart) {
+    std::vector<StoreChange> changes;
+    if (revision.era > this->knownAsOf.era) {
+        return changes;
+    }
+    if (revision.era < this->knownAsOf.era || revision.number < this->logStart) {
         return std::nullopt;
     }
-    std::vector<StoreChange> changes;
     for (const StoreChange &change : this->log) {
-        if (change.revision > revision) {
+        if (change.revision > revision.number) {
             changes.push_back(change);
         }
     }
--- a/src/hickoryshore/statesync/prefix_follower_test.cpp
+++ b/src/hickoryshore/statesync/prefix_follower_test.cpp
@@ -31,7 +31,7 @@
     void list(std::uint64_t asOf)
     {
         this->follower.start(start, this->actions);
-        this->follower.onPage(start, {.items = {{"a", "1", 3}, {"b", "2", 4}}, .asOf = asOf}, this->actions);
+        this->follower.onPage(start, {.items = {{"a", "1", 3}, {"b", "2", 4}}, .asOf = {0, asOf}}, this->actions);
         this->actions.clear();
     }
 };
@@ -44,24 +44,25 @@
 {
     this->follower.start(start, this->actions);
     BOOST_TEST(this->take<ListKeys>().at(0).after.empty());
-    this->follower.onPage(start, {.items = {{"a", "1", 3}}, .hasMore = true, .asOf = 10}, this->actions);
+    this->follower.onPage(start, {.items = {{"a", "1", 3}}, .hasMore = true, .asOf = {0, 10}}, this->actions);
     BOOST_TEST(this->take<ListKeys>().at(0).after == "a");
-    this->follower.onPage(start, {.items = {{"b", "2", 11}}, .asOf = 12}, this->actions);
+    this->follower.onPage(start, {.items = {{"b", "2", 11}}, .asOf = {0, 12}}, this->actions);
     const auto actions = this->actions;
     BOOST_TEST(this->take<TakeListing>().at(0).items.size() == 2);
     this->actions = actions;
-    BOOST_TEST(this->take<WatchKeys>().at(0).after == 10);
+    BOOST_TEST(this->take<WatchKeys>().at(0).after.number == 10);
 }
 
 BOOST_AUTO_TEST_CASE(changes_are_taken_once)
 {
     this->list(10);
-    this->follower.onChanges(start, {.changes = {{"a", "old", 3}, {"b", std::nullopt, 11}}, .asOf = 11}, this->actions);
+    this->follower.onChanges(
+        start, {.changes = {{"a", "old", 3}, {"b", std::nullopt, 11}}, .asOf = {0, 11}}, this->actions);
     const auto changes = this->take<TakeChange>();
     BOOST_TEST(changes.size() == 1);
     BOOST_TEST(changes.at(0).change.key == "b");
     BOOST_TEST(!changes.at(0).storeWasAway);
-    BOOST_TEST(this->follower.asOf() == 11);
+    BOOST_TEST(this->follower.asOf().number == 11);
 }
 
 BOOST_AUTO_TEST_CASE(changes_in_quick_succession_take_few_calls)
@@ -75,7 +76,7 @@
             this->follower.onTimer(start + passed, this->actions);
         } else {
             this->follower.onChanges(
-                start + passed, {.changes = {{"c", "x", ++revision}}, .asOf = revision}, this->actions);
+                start + passed, {.changes = {{"c", "x", ++revision}}, .asOf = {0, revision}}, this->actions);
         }
         watches += static_cast<int>(this->take<WatchKeys>().size());
     }
@@ -98,8 +99,8 @@
     const Instant retry = this->follower.nextTimer().value();
     BOOST_TEST((retry > start && retry <= start + 100ms));
     this->follower.onTimer(retry, this->actions);
-    BOOST_TEST(this->take<WatchKeys>().at(0).after == 10);
-    this->follower.onChanges(retry, {.changes = {{"a", std::nullopt, 12}}, .asOf = 12}, this->actions);
+    BOOST_TEST(this->take<WatchKeys>().at(0).after.number == 10);
+    this->follower.onChanges(retry, {.changes = {{"a", std::nullopt, 12}}, .asOf = {0, 12}}, this->actions);
     BOOST_TEST(!this->follower.isCutOff());
     BOOST_TEST(this->take<TakeChange>().at(0).storeWasAway);
 }
@@ -117,14 +118,14 @@
         }
     }
     this->follower.start(start, this->actions);
-    this->follower.onPage(start, {.items = items, .asOf = 25}, this->actions);
+    this->follower.onPage(start, {.items = items, .asOf = {0, 25}}, this->actions);
     this->actions.clear();
-    this->follower.onChanges(start + 60s, {.changes = lapsed, .asOf = 60}, this->actions);
+    this->follower.onChanges(start + 60s, {.changes = lapsed, .asOf = {0, 60}}, this->actions);
     for (const TakeChange &taken : this->take<TakeChange>()) {
         BOOST_TEST(taken.storeWasAway);
     }
     // One that follows soon after belongs to them.
-    this->follower.onChanges(start + 61s, {.changes = {{"k1", std::nullopt, 61}}, .asOf = 61}, this->actions);
+    this->follower.onChanges(start + 61s, {.changes = {{"k1", std::nullopt, 61}}, .asOf = {0, 61}}, this->actions);
     BOOST_TEST(this->take<TakeChange>().at(0).storeWasAway);
 }
 
@@ -135,11 +136,11 @@
         items.push_back({"k" + std::to_string(number), "1", number});
     }
     this->follower.start(start, this->actions);
-    this->follower.onPage(start, {.items = items, .asOf = 25}, this->actions);
+    this->follower.onPage(start, {.items = items, .asOf = {0, 25}}, this->actions);
     this->follower.onFailure(start + 60s, StoreFailure::HistoryGone, this->actions);
     this->actions.clear();
     items.resize(10);
-    this->follower.onPage(start + 60s, {.items = items, .asOf = 60}, this->actions);
+    this->follower.onPage(start + 60s, {.items = items, .asOf = {0, 60}}, this->actions);
     BOOST_TEST(this->take<TakeListing>().at(0).storeWasAway);
 }
 
@@ -147,7 +148,7 @@
 {
     this->list(10);
     this->follower.onChanges(
-        start, {.changes = {{"a", std::nullopt, 11}, {"b", std::nullopt, 12}}, .asOf = 12}, this->actions);
+        start, {.changes = {{"a", std::nullopt, 11}, {"b", std::nullopt, 12}}, .asOf = {0, 12}}, this->actions);
     for (const TakeChange &taken : this->take<TakeChange>()) {
         BOOST_TEST(!taken.storeWasAway);
     }
@@ -158,7 +159,7 @@
     this->list(10);
     this->follower.onFailure(start, StoreFailure::HistoryGone, this->actions);
     this->actions.clear();
-    this->follower.onPage(start, {.items = {}, .asOf = 9}, this->actions);
+    this->follower.onPage(start, {.items = {}, .asOf = {0, 9}}, this->actions);
     BOOST_TEST(this->take<TakeListing>().empty());
     BOOST_TEST(this->follower.items().size() == 2);
 }
@@ -168,12 +169,12 @@
     this->follower.start(start, this->actions);
     this->follower.onFailure(start, StoreFailure::Unavailable, this->actions);
     this->actions.clear();
-    this->follower.onPeerState(start, {.items = {{"a", "1", 3}}, .asOf = 7}, this->actions);
+    this->follower.onPeerState(start, {.items = {{"a", "1", 3}}, .asOf = {0, 7}}, this->actions);
     BOOST_TEST(this->take<TakeListing>().size() == 1);
-    this->follower.onPeerState(start, {.items = {}, .asOf = 7}, this->actions);
+    this->follower.onPeerState(start, {.items = {}, .asOf = {0, 7}}, this->actions);
     BOOST_TEST(this->take<TakeListing>().empty());
     this->follower.onTimer(start + 1s, this->actions);
-    BOOST_TEST(this->take<WatchKeys>().at(0).after == 7);
+    BOOST_TEST(this->take<WatchKeys>().at(0).after.number == 7);
 }
 
 BOOST_AUTO_TEST_CASE(changes_from_before_a_peers_state_do_not_bring_back_what_it_lacks)
@@ -181,12 +182,111 @@
     // A watch is under way at a source that is behind when a peer hands over a newer state, in which a key that the
     // source still adds has gone.
     this->list(10);
-    this->follower.onPeerState(start, {.items = {{"a", "1", 3}}, .asOf = 20}, this->actions);
+    this->follower.onPeerState(start, {.items = {{"a", "1", 3}}, .asOf = {0, 20}}, this->actions);
     this->actions.clear();
-    this->follower.onChanges(start, {.changes = {{"c", "left", 12}, {"b", "old", 13}}, .asOf = 14}, this->actions);
+    this->follower.onChanges(start, {.changes = {{"c", "left", 12}, {"b", "old", 13}}, .asOf = {0, 14}}, this->actions);
     BOOST_TEST(this->take<TakeChange>().empty());
     BOOST_TEST(this->follower.items().size() == 1);
-    BOOST_TEST(this->follower.asOf() == 20);
+    BOOST_TEST(this->follower.asOf().number == 20);
+}
+
+BOOST_AUTO_TEST_CASE(a_store_that_comes_back_from_an_older_copy_is_listed_once_and_followed_from_there)
+{
+    this->list(100);
+    this->follower.onFailure(start, StoreFailure::HistoryGone, this->actions);
+    BOOST_TEST(this->take<ListKeys>().size() == 1);
+    this->follower.onPage(start, {.items = {{"a", "old", 2}}, .asOf = {1, 61}}, this->actions);
+    const auto actions = this->actions;
+    const TakeListing listing = this->take<TakeListing>().at(0);
+    BOOST_TEST(listing.fromOlderCopy);
+    BOOST_TEST(listing.storeWasAway);
+    this->actions = actions;
+    BOOST_TEST((this->take<WatchKeys>().at(0).after == StoreRevision{1, 61}));
+    // A number that the earlier era had given out tells of something new.
+    this->follower.onChanges(start, {.changes = {{"b", "new", 62}}, .asOf = {1, 62}}, this->actions);
+    BOOST_TEST(this->take<TakeChange>().at(0).change.value.value() == "new");
+}
+
+BOOST_AUTO_TEST_CASE(a_watch_that_outlived_the_return_is_not_trusted)
+{
+    // The store comes back while the watch waits: what it brings follows a number of the earlier era.
+    this->list(100);
+    this->follower.onChanges(start, {.changes = {{"b", "new", 101}}, .asOf = {1, 101}}, this->actions);
+    BOOST_TEST(this->actions.empty());
+    const Instant listing = this->follower.nextTimer().value();
+    BOOST_TEST((listing <= start + PrefixFollower::listingSpread));
+    this->follower.onTimer(listing, this->actions);
+    BOOST_TEST(this->take<ListKeys>().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_listing_whose_pages_are_of_two_eras_begins_anew)
+{
+    this->follower.start(start, this->actions);
+    this->follower.onPage(start, {.items = {{"a", "1", 3}}, .hasMore = true, .asOf = {0, 100}}, this->actions);
+    this->actions.clear();
+    this->follower.onPage(start, {.items = {{"c", "1", 4}}, .asOf = {1, 60}}, this->actions);
+    BOOST_TEST(this->actions.empty());
+    this->follower.onTimer(this->follower.nextTimer().value(), this->actions);
+    BOOST_TEST(this->take<ListKeys>().at(0).after.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_peer_of_an_earlier_era_takes_nothing_back)
+{
+    this->list(100);
+    this->follower.onFailure(start, StoreFailure::HistoryGone, this->actions);
+    this->follower.onPage(start, {.items = {{"a", "1", 3}}, .asOf = {1, 61}}, this->actions);
+    this->actions.clear();
+    this->follower.onPeerState(start, {.items = {}, .asOf = {0, 100}}, this->actions);
+    BOOST_TEST(this->take<TakeListing>().empty());
+    BOOST_TEST((this->follower.asOf() == StoreRevision{1, 61}));
+    // Nor does it have changes for one that is of an earlier era.
+    BOOST_TEST(!this->follower.changesAfter({0, 100}).has_value());
+    BOOST_TEST(this->follower.changesAfter({1, 61}).value().empty());
+    BOOST_TEST(this->follower.changesAfter({2, 5}).value().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_watch_that_ends_after_a_peer_has_told_of_a_later_era_changes_nothing)
+{
+    this->list(100);
+    this->follower.onPeerState(start, {.items = {{"a", "1", 3}}, .asOf = {1, 61}}, this->actions);
+    this->actions.clear();
+    this->follower.onChanges(start + 1s, {.changes = {{"a", "0", 101}}, .asOf = {0, 101}}, this->actions);
+    BOOST_TEST(this->take<TakeChange>().empty());
+    this->follower.onTimer(start + 2s, this->actions);
+    BOOST_TEST((this->follower.asOf() == StoreRevision{1, 61}));
+}
+
+BOOST_AUTO_TEST_CASE(a_store_without_history_is_not_called_without_pause)
+{
+    // Each watch is told to list anew, and each listing is older than what is known, or of the same state.
+    this->list(100);
+    int calls = 0;
+    std::uint64_t listed = 61;
+    std::optional<bool> lists = false;
+    for (Duration passed = 0ms; passed <= 2s; passed += 1ms) {
+        const Instant now = start + passed;
+        if (lists.has_value()) {
+            const bool wasList = *lists;
+            lists.reset();
+            ++calls;
+            if (wasList) {
+                this->follower.onPage(now, {.items = {{"a", "1", 3}}, .asOf = {0, listed}}, this->actions);
+                listed = listed == 61 ? 100 : 61;
+            } else {
+                this->follower.onFailure(now, StoreFailure::HistoryGone, this->actions);
+            }
+        }
+        this->follower.onTimer(now, this->actions);
+        const auto actions = this->actions;
+        if (!this->take<ListKeys>().empty()) {
+            lists = true;
+        }
+        this->actions = actions;
+        if (!this->take<WatchKeys>().empty()) {
+            lists = false;
+        }
+    }
+    BOOST_TEST(calls <= 30);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
