--- a/include/hickoryshore/dispatch/endpoint_table.h
+++ b/include/hickoryshore/dispatch/endpoint_table.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include "hickoryshore/base/ids.h"
+#include "hickoryshore/dispatch/aggregation_plan.h"
 #include "hickoryshore/dispatch/route_latency.h"
 #include "hickoryshore/result/result_code.h"
 #include "hickoryshore/shard/replica_health.h"
@@ -32,7 +33,7 @@
     EndpointId endpoint;
     ServiceId service;
     Distance distance = Distance::SameRegion;
-    bool sameDataCentre = true;
+    PlaceNumber place = ownPlace; ///< Its data centre.
     int slots = 1;
     bool draining = false;
     Duration warmUpLeft{0};
@@ -88,6 +89,10 @@
                                      const RouteLatency &latency,
                                      std::span<const EndpointId> excluded);
 
+    /// The data centres from which the service is served best: those of replicas that are expected to take little
+    /// longer than the one that choose() would take. Empty where there is none.
+    PlaceSet placesOf(Instant now, const ServiceId &service, const RouteLatency &latency);
+
     /// Why a request may no longer be sent to a replica that was chosen earlier, where it waited for a connection
     /// meanwhile; nothing where it may.
     std::optional<ResultCode> refusalOf(Instant now, EndpointId endpoint) const;
--- a/include/hickoryshore/dispatch/request_run.h
+++ b/include/hickoryshore/dispatch/request_run.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -32,6 +33,8 @@
     double minimumCoverage = 1.0; ///< Share of the parts, 0 to 1, without which there is no answer.
     Instant answerBy; ///< From here on minimumCoverage suffices.
     Instant deadline;
+    std::vector<PartGroup> groups; ///< Parts that a VM of another data centre is asked for.
+    std::vector<Duration> groupTravel; ///< For each group, the ways there and back.
 };
 
 /// Why an attempt is made; one counter each.
@@ -49,6 +52,25 @@
     bool provenConnection = false; ///< Only over a connection that is new or has proven alive.
 };
 
+/// Ask a VM of another data centre for several parts. Each is an attempt of its own.
+struct SendGroup
+{
+    std::size_t group = 0; ///< Its place in the settings.
+    std::vector<AttemptId> attempts; ///< In the order of the group's parts.
+    Duration answerWithin{0}; ///< From its arrival there.
+    Duration remaining{0}; ///< Until the deadline.
+    std::size_t needed = 0; ///< Parts of the group without which the whole request has no answer.
+};
+
+/// What has become of one part of a group.
+struct GroupedEnd
+{
+    AttemptId attempt;
+    AttemptEnd end;
+    int runs = 0; ///< Replicas on which it may have run, where it has no result.
+    bool stillAtWork = false; ///< One of them had not answered when the group's answer was due.
+};
+
 /// The attempt is no longer waited for.
 struct DropAttempt
 {
@@ -61,6 +83,7 @@
 {
     ServiceId service;
     ResultCode code = ResultCode::Ok;
+    int runs = 0; ///< Replicas on which it may have run.
 };
 
 /// Give the caller its final answer. Each run gets one, unless it is abandoned.
@@ -74,7 +97,7 @@
     Duration retryAfter{0}; ///< When to come back, where nothing ran.
 };
 
-using RunAction = std::variant<SendAttempt, DropAttempt, FinishRun>;
+using RunAction = std::variant<SendAttempt, SendGroup, DropAttempt, FinishRun>;
 
 /// One request. Not thread-safe; the table, the latencies and the counter of attempts must outlive it.
 class RequestRun
@@ -88,6 +111,10 @@
     void onAttemptEnd(
         Instant now, AttemptId attempt, const AttemptEnd &end, bool isReply, std::vector<RunAction> &actions);
 
+    /// Takes the answer of a group, or its failure. A part of it that a direct attempt has answered meanwhile counts as
+    /// answered by the group, whose merged result has it already.
+    void onGroupEnd(Instant now, std::span<const GroupedEnd> ends, std::vector<RunAction> &actions);
+
     /// Does what has become due.
     void onTimer(Instant now, std::vector<RunAction> &actions);
 
@@ -106,7 +133,7 @@
         EndpointId endpoint;
         Instant sentAt;
         bool live = false;
-        bool mayHaveRun = false; ///< Or is still in flight.
+        int runs = 0; ///< Replicas on which it may have run, or is still in flight.
     };
 
     enum class PartState { Waiting, Answered, Missing };
@@ -124,6 +151,10 @@
         bool arrived = false; ///< An attempt may have reached a replica.
     };
 
+    void sendGroup(Instant now, std::size_t group, std::vector<RunAction> &actions);
+    std::optional<std::pair<std::size_t, Attempt *>> findAttempt(AttemptId attempt);
+    void takeGrouped(Instant now, const GroupedEnd &end, std::vector<RunAction> &actions);
+    void afterFailure(Instant now, std::size_t number, bool sent, std::vector<RunAction> &actions);
     bool send(Instant now, std::size_t number, DirectAttempt reason, std::vector<RunAction> &actions);
     std::optional<EndpointId> untried(Instant now, std::size_t number);
     std::optional<EndpointId> endpointFor(Instant now, std::size_t number);
@@ -131,6 +162,7 @@
     void hedge(Instant now, std::size_t number, std::vector<RunAction> &actions);
     void retry(Instant now, std::size_t number, std::vector<RunAction> &actions);
     void give(Part &part);
+    static int runsOf(const Part &part);
     bool mayRunAgain(const Part &part) const;
     void dropLive(Part &part, bool callerLeft, std::vector<RunAction> &actions);
     void finishIfDue(Instant now, std::vector<RunAction> &actions);
--- a/include/hickoryshore/entry/entry_vm.h
+++ b/include/hickoryshore/entry/entry_vm.h
@@ -31,6 +31,7 @@
 
 private:
     HttpListenerHooks callerHooks();
+    HttpListenerHooks peerHooks();
     HttpListenerHooks hooksFor(void (EntryVm::*answer)(HttpCallId call, const HttpServerRequest &request));
     void answerEntryPoint(HttpCallId call, const HttpServerRequest &request);
     void answerReadiness(HttpCallId call, const HttpServerRequest &request);
--- a/include/hickoryshore/entry/request_service.h
+++ b/include/hickoryshore/entry/request_service.h
@@ -2,10 +2,12 @@
 // answers.
 #pragma once
 
+#include "hickoryshore/dispatch/aggregator_table.h"
 #include "hickoryshore/dispatch/request_run.h"
 #include "hickoryshore/entry/entry_dialect.h"
 #include "hickoryshore/entry/entry_settings.h"
 #include "hickoryshore/httpserver/http_listener.h"
+#include "hickoryshore/membership/member.h"
 #include "hickoryshore/metrics/labelled_latencies.h"
 #include "hickoryshore/metrics/metrics.h"
 #include "hickoryshore/routes/route_table.h"
@@ -16,13 +18,21 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+namespace hickoryshore::wire {
+class AggregateReply;
+}
+
 namespace hickoryshore {
 
+/// Where VMs ask each other for several parts of a request.
+inline constexpr std::string_view aggregatePath = "/v1/aggregate";
+
 /// What a RequestService needs of its VM.
 struct RequestHooks
 {
@@ -34,8 +44,14 @@
 
     /// A replica has said that it leaves; may be empty.
     std::function<void(EndpointId)> onReplicaLeaving;
+
+    /// Gives an answer to the listener of other VMs; empty where none of them asks.
+    std::function<void(HttpCallId, const HttpAnswer &)> answerPeer;
 };
 
+/// One request under way, of a caller or of another VM.
+using RunId = NumberId<struct RunTag>;
+
 /// All requests in flight at this VM. Lives on the loop's thread.
 class RequestService
 {
@@ -54,9 +70,16 @@
     /// Sets this VM's share, from 0 to 1, of the replicas' connections and of the budget of extra attempts.
     void setShare(double share);
 
+    /// Takes the other VMs; those that can be asked for parts listen on this port.
+    void setMembers(const MembershipView &view, int peerPort);
+
     void onRequest(HttpCallId call, const HttpServerRequest &request);
     void onClientLeft(HttpCallId call);
 
+    /// Another VM asks for parts of a request.
+    void onAggregateRequest(HttpCallId call, const HttpServerRequest &request);
+    void onPeerLeft(HttpCallId call);
+
     std::size_t inFlight() const;
     HttpConnectionCounts connections() const;
 
@@ -76,15 +99,40 @@
         bool isHead = false;
     };
 
+    /// A call to an aggregator.
+    struct GroupCall
+    {
+        VmId vm;
+        Instant sentAt;
+        Instant due;
+    };
+
+    /// Several parts that another VM is asked for.
+    struct ActiveGroup
+    {
+        AggregatorCandidate asked;
+        std::vector<std::size_t> parts; ///< Their numbers.
+        HttpExchangeId exchange;
+        Instant due; ///< Of its answer.
+        std::vector<AttemptId> attempts;
+        std::string records; ///< Merged, once it has answered.
+        std::unordered_map<AttemptId, std::string> signatures; ///< Of the parts that are in the records.
+        bool ended = false;
+    };
+
     struct ActiveRequest
     {
+        HttpCallId call;
+        bool forPeer = false; ///< Another VM asks; otherwise a caller.
         std::shared_ptr<const RouteTable> table; ///< Under which it is served; keeps its route alive.
+        std::shared_ptr<const Route> ownRoute; ///< Of a request of another VM, which has told what to do.
         const Route *route = nullptr;
         Instant arrival;
         std::shared_ptr<const Forwarding> forwarding;
         std::shared_ptr<RouteLatency> latency;
         std::unique_ptr<RequestRun> run;
         std::unordered_map<AttemptId, UpstreamHttpResponse> replies;
+        std::vector<ActiveGroup> groups; ///< In the order of the run's groups.
         Instant timerAt = Instant::max();
         int attempts = 0;
         int hedges = 0;
@@ -93,7 +141,7 @@
 
     struct ActiveAttempt
     {
-        HttpCallId call; ///< Zero once nobody waits for it any more.
+        RunId run; ///< Zero once nobody waits for it any more.
         EndpointId endpoint;
         std::shared_ptr<RouteLatency> latency;
         HttpExchangeId exchange;
@@ -113,20 +161,28 @@
     void refuse(HttpCallId call, const HttpServerRequest &request, ResultCode code);
     void begin(HttpCallId call, const Route &route, const HttpServerRequest &request);
     RunSettings runSettings(const Route &route, Instant now, Duration remaining);
+    std::vector<ActiveGroup> planGroups(RunSettings &run, Instant now, const RouteLatency &latency);
+    std::shared_ptr<RouteLatency> latencyOfPeer(const RouteId &route, Duration remaining);
     std::shared_ptr<const Forwarding> forwardingOf(const HttpServerRequest &request) const;
     std::shared_ptr<RouteLatency> latencyOf(const Route &route);
     void forgetOldRoutes();
     void limitConnections();
 
-    void perform(HttpCallId call, std::vector<RunAction> &actions);
+    PlaceNumber placeOf(const DataCentreId &dataCentre) const;
+    void start(RunId id, ActiveRequest &started, RunSettings run);
+    void perform(RunId id, std::vector<RunAction> &actions);
     std::optional<std::string> requestBytes(const Forwarding &forwarding,
                                             EndpointId endpoint,
                                             std::string_view replica,
                                             Instant deadline) const;
-    void send(HttpCallId call, ActiveRequest &active, const SendAttempt &action);
+    void send(RunId id, ActiveRequest &active, const SendAttempt &action);
+    void sendGroup(RunId id, ActiveRequest &active, const SendGroup &action);
+    void onGroupEnd(RunId id, std::size_t group, const HttpExchangeEnd &end, const GroupCall &call);
+    static std::vector<GroupedEnd> takeReply(ActiveGroup &group, const wire::AggregateReply &reply);
     void drop(const DropAttempt &action);
-    void finish(HttpCallId call, const FinishRun &outcome);
-    void armTimer(HttpCallId call, ActiveRequest &active);
+    void finish(RunId id, const FinishRun &outcome);
+    void abandon(RunId id);
+    void armTimer(RunId id, ActiveRequest &active);
 
     void onExchangeEnd(AttemptId attempt, HttpExchangeEnd end);
     void noteChange(const EndpointChange &change, ResultCode code);
@@ -136,6 +192,7 @@
     void observeService(EndpointId endpoint, Duration latency);
 
     HttpAnswer answerOf(const ActiveRequest &active, const FinishRun &outcome) const;
+    HttpAnswer answerForPeer(const ActiveRequest &active, const FinishRun &outcome) const;
     HttpAnswer mergedAnswer(const ActiveRequest &active, const FinishRun &outcome) const;
     HttpAnswer forwardedAnswer(const UpstreamHttpResponse &reply) const;
     HttpAnswer refusalAnswer(std::string_view requestId, ResultCode code, Duration retryAfter) const;
@@ -156,7 +213,15 @@
     std::unordered_map<EndpointId, Replica> replicas;
     ReplicasByRegion regionReplicas;
     std::shared_ptr<HttpConnections> upstream;
-    std::unordered_map<HttpCallId, ActiveRequest> active;
+    std::unordered_map<RunId, ActiveRequest> active;
+    std::unordered_map<HttpCallId, RunId> callers;
+    std::unordered_map<HttpCallId, RunId> peerCalls;
+    std::uint64_t lastRun = 0;
+    AggregatorTable aggregators;
+    std::unordered_map<DataCentreId, PlaceNumber> places; ///< Numbers of the data centres.
+    std::shared_ptr<HttpConnections> peers; ///< To other VMs.
+    std::uint64_t ownHash = 0; ///< Spreads the VMs over the aggregators of a data centre.
+    std::minstd_rand random;
     std::unordered_map<AttemptId, ActiveAttempt> attempts;
     std::uint64_t lastAttempt = 0;
     RepeatBudget repeats;
--- a/include/hickoryshore/entry/store_sharing.h
+++ b/include/hickoryshore/entry/store_sharing.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -24,8 +25,9 @@
 std::vector<VmId> storeReaders(const MembershipView &view, const DataCentreId &dataCentre);
 
 /// The VM from which to follow the store; nothing where it is to be called directly. `failures` counts the calls that
-/// failed in a row: each leads to the next source, and every third one to the store itself.
-std::optional<Member> storeSource(const MembershipView &view, int failures, std::uint64_t random);
+/// failed in a row: each leads to the next source, and every third one to the store itself. `turn` chooses among the
+/// sources: calls that follow each other go to all of them by turns.
+std::optional<Member> storeSource(const MembershipView &view, int failures, std::uint64_t turn);
 
 /// Calls to the store, directly or by way of another VM. Lives on the loop's thread.
 class StoreSharing
@@ -43,7 +45,7 @@
     void listAt(const Member &peer, std::string_view prefix, std::function<void(PageResult)> completion);
 
     /// Asks a VM drawn at random what has changed there after a revision, without waiting for changes. Nothing is asked
-    /// where this VM follows another one rather than the store, or where there is none.
+    /// where there is none.
     void askChanges(std::string_view prefix,
                     const StoreRevision &after,
                     std::function<void(const Member &, ChangesResult)> completion);
@@ -53,7 +55,7 @@
     bool askDeparted(std::function<void(std::optional<std::vector<DepartedStart>>)> completion);
 
 private:
-    std::optional<Member> source();
+    std::optional<Member> source(std::string_view prefix);
     const Member *drawInformed();
     std::string serverOf(const Member &peer) const;
     void list(std::string_view prefix, std::string_view after, std::function<void(PageResult)> completion);
@@ -69,6 +71,8 @@
     std::mt19937_64 random;
     std::shared_ptr<const MembershipView> members;
     std::shared_ptr<HttpConnections> peers;
+    std::uint64_t firstTurn; ///< The VMs do not all begin with the same source.
+    std::map<std::string, std::uint64_t, std::less<>> turns; ///< Of the sources, for each prefix.
     int failures = 0;
 };
 
--- a/include/hickoryshore/metrics/metrics.h
+++ b/include/hickoryshore/metrics/metrics.h
@@ -34,6 +34,9 @@
     Cancellations,
     QueryRestarts,
     LateReplies, ///< Replies that nobody waited for any more.
+    Groups, ///< Calls to other VMs for several parts at once.
+    GroupFailures, ///< Such calls without an answer in time.
+    Aggregations, ///< Such calls that this VM served.
     FramesSent,
     FramesReceived,
     BytesSent,
--- a/include/hickoryshore/statesync/prefix_follower.h
+++ b/include/hickoryshore/statesync/prefix_follower.h
@@ -138,6 +138,9 @@
     /// Takes the state that a peer has; nothing happens where it is not newer.
     void onPeerState(Instant now, StorePage state, std::vector<FollowerAction> &actions);
 
+    /// Takes changes that a peer has heard of, which follow a revision that is known here, beside the call under way.
+    void onPeerChanges(Instant now, StoreChanges changes, std::vector<FollowerAction> &actions);
+
     void onTimer(Instant now, std::vector<FollowerAction> &actions);
     std::optional<Instant> nextTimer() const;
 
@@ -166,6 +169,7 @@
 
     void next(Instant now, std::vector<FollowerAction> &actions);
     void answered(std::vector<FollowerAction> &actions);
+    void take(Instant now, StoreChanges changes, std::vector<FollowerAction> &actions);
     bool adopt(Instant now,
                std::vector<StoreItem> items,
                const StoreRevision &asOf,
--- /dev/null
+++ b/src/hickoryshore/dispatch/aggregator_table_test.cpp
@@ -0,0 +1,94 @@
+#include "hickoryshore/dispatch/aggregator_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace hickoryshore;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Instant start = Instant{} + 100s;
+
+AggregatorTable threeVms()
+{
+    AggregatorTable table;
+    table.setCandidates(start - AggregatorTable::warmUp,
+                        {{.vm = {"a"}, .processId = 1, .server = "1:1", .place = 1},
+                         {.vm = {"b"}, .processId = 1, .server = "2:1", .place = 1},
+                         {.vm = {"c"}, .processId = 1, .server = "3:1", .place = 1},
+                         {.vm = {"n"}, .processId = 1, .server = "4:1", .place = 2, .near = true}});
+    return table;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(calls_go_to_the_first_vms_by_turns_of_their_load)
+{
+    AggregatorTable table = threeVms();
+    BOOST_TEST(table.choose(start, 1)->vm.value == "a");
+    table.countSent({"a"}, start + 50ms);
+    BOOST_TEST(table.choose(start, 1)->vm.value == "b");
+    table.countSent({"b"}, start + 50ms);
+    BOOST_TEST(table.choose(start, 1)->vm.value == "a");
+    BOOST_TEST(!table.choose(start, 3).has_value());
+    BOOST_TEST((table.places(start) == (placeBit(1) | placeBit(2))));
+    BOOST_TEST((table.nearPlaces() == placeBit(2)));
+}
+
+BOOST_AUTO_TEST_CASE(a_vm_that_froze_is_passed_over_for_a_while)
+{
+    AggregatorTable table = threeVms();
+    for (const char *vm : {"a", "b"}) {
+        table.countSent({vm}, start + 50ms);
+        table.countEnd(start, {vm}, start + 50ms, {.answered = false});
+    }
+    BOOST_TEST(table.choose(start, 1)->vm.value == "c");
+    table.countSent({"c"}, start + 50ms);
+    table.countEnd(start, {"c"}, start + 50ms, {.answered = false});
+    BOOST_TEST(!table.choose(start, 1).has_value());
+    BOOST_TEST((table.places(start) == placeBit(2)));
+    BOOST_TEST(table.choose(start + AggregatorTable::failurePause, 1)->vm.value == "a");
+}
+
+BOOST_AUTO_TEST_CASE(the_usual_way_follows_what_calls_tell)
+{
+    AggregatorTable table = threeVms();
+    BOOST_TEST((table.travel(1) > table.travel(2)));
+    const auto tell = [&table](Duration travel) {
+        table.countSent({"a"}, start + 50ms);
+        table.countEnd(start, {"a"}, start + 50ms, {.answered = true, .travel = travel});
+    };
+    tell(16ms);
+    BOOST_TEST((table.travel(1) == 16ms));
+    tell(32ms);
+    BOOST_TEST((table.travel(1) == 18ms));
+    tell(2ms);
+    BOOST_TEST((table.travel(1) == 16ms));
+}
+
+BOOST_AUTO_TEST_CASE(a_vm_whose_answer_is_overdue_is_passed_over_before_the_call_ends)
+{
+    AggregatorTable table = threeVms();
+    table.countSent({"a"}, start + 50ms);
+    const Instant overdue = start + 50ms + AggregatorTable::lateAnswer + 1ms;
+    BOOST_TEST(table.choose(overdue, 1)->vm.value == "b");
+    table.countSent({"b"}, overdue + 50ms);
+    BOOST_TEST(table.choose(overdue, 1)->vm.value == "c");
+    // It has answered at last: it stays passed over for a while.
+    table.countEnd(overdue, {"a"}, start + 50ms, {.answered = true, .travel = 16ms});
+    BOOST_TEST(table.choose(overdue, 1)->vm.value == "c");
+    // A caller that left says nothing of the VM.
+    table.countDropped({"b"}, overdue + 50ms);
+    BOOST_TEST(table.choose(overdue + 1s, 1)->vm.value == "b");
+}
+
+BOOST_AUTO_TEST_CASE(a_vm_that_has_started_anew_is_left_alone_until_it_is_warm)
+{
+    AggregatorTable table = threeVms();
+    table.setCandidates(start, {{.vm = {"a"}, .processId = 2, .server = "1:1", .place = 1}});
+    BOOST_TEST((table.places(start) == 0));
+    BOOST_TEST(!table.choose(start + 1s, 1).has_value());
+    // News of other members begin no new wait.
+    table.setCandidates(start + 2s, {{.vm = {"a"}, .processId = 2, .server = "1:1", .place = 1}});
+    BOOST_TEST(table.choose(start + AggregatorTable::warmUp, 1)->vm.value == "a");
+}
--- a/src/hickoryshore/dispatch/endpoint_table.cpp
+++ b/src/hickoryshore/dispatch/endpoint_table.cpp
@@ -42,6 +42,8 @@
 constexpr Duration longestRefusalSpread = 500ms;
 /// Costs are compared with this much noise, so that the VMs do not all choose the same of two equal replicas.
 constexpr double costNoise = 0.1;
+/// A replica that costs at most so many times the best one serves about as well.
+constexpr double likeCost = 1.5;
 /// Parts of the fleet's budget that are handed out: of the slack, what may be spent at once and what comes back within
 /// a window, and of the ratio. What is left covers VMs that start anew within a window, with another part to spend.
 constexpr double slackAtOnce = 0.4;
@@ -146,7 +148,7 @@
         cost += quiet > latency.hedgeDelay(distance) ? static_cast<double>(quiet.count()) : 0.0;
     }
     cost += failureCost * assessment.failureShare;
-    cost += endpoint.replica.sameDataCentre ? 0.0 : otherDataCentreCost;
+    cost += endpoint.replica.place == ownPlace ? 0.0 : otherDataCentreCost;
     cost += endpoint.health.isEjected(now) ? ejectedCost : 0.0;
     cost += endpoint.health.isBackingOff(now) ? backoffCost : 0.0;
     // After its pause one request tells whether it takes others again.
@@ -217,6 +219,28 @@
     return best;
 }
 
+PlaceSet EndpointTable::placesOf(Instant now, const ServiceId &service, const RouteLatency &latency)
+{
+    const auto found = this->services.find(service);
+    if (found == this->services.end()) {
+        return 0;
+    }
+    std::vector<std::pair<double, PlaceNumber>> costs;
+    double bestCost = std::numeric_limits<double>::infinity();
+    for (const EndpointId id : found->second.endpoints) {
+        const Endpoint &endpoint = this->endpoints.at(id);
+        if (accepts(endpoint, now)) {
+            costs.emplace_back(this->costOf(endpoint, now, latency), endpoint.replica.place);
+            bestCost = std::min(bestCost, costs.back().first);
+        }
+    }
+    PlaceSet places = 0;
+    for (const auto &[cost, place] : costs) {
+        places |= cost <= bestCost * likeCost ? placeBit(place) : 0;
+    }
+    return places;
+}
+
 void EndpointTable::countRequest(Instant now, const ServiceId &id)
 {
     Service &service = this->serviceOf(id);
--- a/src/hickoryshore/dispatch/request_run.cpp
+++ b/src/hickoryshore/dispatch/request_run.cpp
@@ -46,7 +46,13 @@
 
 void RequestRun::start(Instant now, std::vector<RunAction> &actions)
 {
+    for (std::size_t group = 0; group < this->settings.groups.size(); ++group) {
+        this->sendGroup(now, group, actions);
+    }
     for (std::size_t number = 0; number < this->parts.size(); ++number) {
+        if (this->parts[number].count > 0) {
+            continue; // The VM that is asked for it counts it.
+        }
         this->table->countRequest(now, this->settings.services[number]);
         if (!this->send(now, number, DirectAttempt::First, actions)) {
             const bool allRefuse = this->table->untilAccepted(now, this->settings.services[number]).has_value();
@@ -57,6 +63,29 @@
     this->finishIfDue(now, actions);
 }
 
+/// Asks for the parts of a group. The VM that is asked hedges and retries them: all replicas that a part may run on are
+/// its to choose.
+void RequestRun::sendGroup(Instant now, std::size_t group, std::vector<RunAction> &actions)
+{
+    const std::vector<std::size_t> &numbers = this->settings.groups[group].parts;
+    const std::size_t mayMiss = this->parts.size() - this->needed();
+    const Duration left = this->settings.answerBy - now - this->settings.groupTravel[group] - groupMargin;
+    SendGroup action{.group = group,
+                     .attempts = {},
+                     .answerWithin = std::max(left, Duration(1ms)),
+                     .remaining = this->settings.deadline - now,
+                     .needed = numbers.size() - std::min(numbers.size(), mayMiss)};
+    for (const std::size_t number : numbers) {
+        Part &part = this->parts[number];
+        const AttemptId id{++*this->lastAttempt};
+        part.attempts[part.count++]
+            = {.id = id, .endpoint = {}, .sentAt = now, .live = true, .runs = this->settings.maximumAttempts};
+        part.arrived = true;
+        action.attempts.push_back(id);
+    }
+    actions.emplace_back(std::move(action));
+}
+
 std::optional<EndpointId> RequestRun::untried(Instant now, std::size_t number)
 {
     const Part &part = this->parts[number];
@@ -87,12 +116,18 @@
     return this->table->choose(now, service, *this->latency, std::span(busy).first(busyCount));
 }
 
+int RequestRun::runsOf(const Part &part)
+{
+    int runs = 0;
+    for (const Attempt &attempt : std::span(part.attempts).first(part.count)) {
+        runs += attempt.runs;
+    }
+    return runs;
+}
+
 bool RequestRun::mayRunAgain(const Part &part) const
 {
-    const auto run = std::ranges::count_if(part.attempts, [](const Attempt &attempt) {
-        return attempt.mayHaveRun;
-    });
-    return part.count < mostAttempts && run < this->settings.maximumAttempts;
+    return part.count < mostAttempts && runsOf(part) < this->settings.maximumAttempts;
 }
 
 bool RequestRun::send(Instant now, std::size_t number, DirectAttempt reason, std::vector<RunAction> &actions)
@@ -108,7 +143,7 @@
     }
     const AttemptId id{++*this->lastAttempt};
     const Duration age = part.count > 0 ? now - part.attempts[part.count - 1].sentAt : Duration(0);
-    part.attempts[part.count++] = {.id = id, .endpoint = *endpoint, .sentAt = now, .live = true, .mayHaveRun = true};
+    part.attempts[part.count++] = {.id = id, .endpoint = *endpoint, .sentAt = now, .live = true, .runs = 1};
     part.arrived = true;
     this->table->countSent(now, *endpoint);
     this->scheduleHedge(part, now, *endpoint);
@@ -176,48 +211,106 @@
     ++this->missing;
 }
 
+std::optional<std::pair<std::size_t, RequestRun::Attempt *>> RequestRun::findAttempt(AttemptId attempt)
+{
+    for (std::size_t number = 0; number < this->parts.size(); ++number) {
+        Part &part = this->parts[number];
+        for (std::size_t each = 0; each < part.count; ++each) {
+            if (part.attempts[each].id == attempt) {
+                return std::pair(number, &part.attempts[each]);
+            }
+        }
+    }
+    return std::nullopt;
+}
+
 void RequestRun::onAttemptEnd(
     Instant now, AttemptId attempt, const AttemptEnd &end, bool isReply, std::vector<RunAction> &actions)
 {
-    if (this->ended) {
+    const auto found = this->ended ? std::nullopt : this->findAttempt(attempt);
+    if (!found.has_value() || this->parts[found->first].state != PartState::Waiting) {
         return;
     }
-    for (std::size_t number = 0; number < this->parts.size(); ++number) {
-        Part &part = this->parts[number];
-        const auto begin = part.attempts.begin();
-        const auto last = begin + static_cast<std::ptrdiff_t>(part.count);
-        const auto found = std::find_if(begin, last, [attempt](const Attempt &each) {
-            return each.id == attempt;
+    const auto [number, known] = *found;
+    Part &part = this->parts[number];
+    known->live = false;
+    known->runs = surelyNotRun(end.code) ? 0 : 1;
+    part.last = end.code;
+    if (end.code == ResultCode::Ok) {
+        part.state = PartState::Answered;
+        part.answeredBy = attempt;
+        part.hedgeAt.reset();
+        ++this->answered;
+        this->dropLive(part, false, actions);
+    } else {
+        part.failureReply = isReply ? attempt : part.failureReply;
+        this->afterFailure(now, number, end.sent, actions);
+    }
+    this->finishIfDue(now, actions);
+}
+
+/// Tries a part again whose attempt has failed, unless another one is under way.
+void RequestRun::afterFailure(Instant now, std::size_t number, bool sent, std::vector<RunAction> &actions)
+{
+    Part &part = this->parts[number];
+    const auto made = std::span(part.attempts).first(part.count);
+    if (!sent) {
+        part.arrived = std::ranges::any_of(made, [](const Attempt &each) {
+            return each.live || each.runs > 0;
         });
-        if (found == last || part.state != PartState::Waiting) {
-            continue;
-        }
-        found->live = false;
-        found->mayHaveRun = !surelyNotRun(end.code);
-        part.last = end.code;
-        if (end.code == ResultCode::Ok) {
-            part.state = PartState::Answered;
-            part.answeredBy = attempt;
-            part.hedgeAt.reset();
-            ++this->answered;
-            this->dropLive(part, false, actions);
-        } else {
-            part.failureReply = isReply ? attempt : part.failureReply;
-            if (!end.sent) {
-                part.arrived = std::any_of(begin, last, [](const Attempt &each) {
-                    return each.live || each.mayHaveRun;
-                });
-            }
-            const bool othersLive = std::any_of(begin, last, [](const Attempt &each) {
-                return each.live;
-            });
-            if (!othersLive) {
-                this->retry(now, number, actions);
-            }
+    }
+    if (std::ranges::none_of(made, &Attempt::live)) {
+        this->retry(now, number, actions);
+    }
+}
+
+void RequestRun::onGroupEnd(Instant now, std::span<const GroupedEnd> ends, std::vector<RunAction> &actions)
+{
+    for (const GroupedEnd &each : ends) {
+        if (!this->ended) {
+            this->takeGrouped(now, each, actions);
         }
-        this->finishIfDue(now, actions);
+    }
+    this->finishIfDue(now, actions);
+}
+
+void RequestRun::takeGrouped(Instant now, const GroupedEnd &end, std::vector<RunAction> &actions)
+{
+    const auto found = this->findAttempt(end.attempt);
+    if (!found.has_value()) {
+        return;
+    }
+    const auto [number, attempt] = *found;
+    Part &part = this->parts[number];
+    attempt->live = false;
+    attempt->runs = end.runs;
+    if (end.end.code == ResultCode::Ok && !end.stillAtWork) {
+        this->answered += part.state == PartState::Answered ? 0 : 1;
+        this->missing -= part.state == PartState::Missing ? 1 : 0;
+        part.state = PartState::Answered;
+        part.answeredBy = end.attempt;
+        part.hedgeAt.reset();
+        part.retryAt.reset();
+        this->dropLive(part, false, actions);
+        return;
+    }
+    if (part.state != PartState::Waiting) {
         return;
     }
+    if (!end.stillAtWork) {
+        part.last = end.end.code;
+        this->afterFailure(now, number, end.end.sent, actions);
+        return;
+    }
+    const auto made = std::span(part.attempts).first(part.count);
+    if (std::ranges::any_of(made, &Attempt::live)) {
+        return;
+    }
+    if (this->mayRunAgain(part)) {
+        this->hedge(now, number, actions);
+    } else {
+        this->give(part);
+    }
 }
 
 void RequestRun::dropLive(Part &part, bool callerLeft, std::vector<RunAction> &actions)
@@ -281,9 +374,7 @@
     ResultCode code = ResultCode::DeadlineBeforeDispatch;
     bool ran = false;
     for (const Part &part : this->parts) {
-        const bool mayRun = std::ranges::any_of(part.attempts, [](const Attempt &attempt) {
-            return attempt.mayHaveRun;
-        });
+        const bool mayRun = runsOf(part) > 0;
         if (part.state == PartState::Missing && (!ran || mayRun)) {
             code = part.last;
         }
@@ -325,7 +416,9 @@
             answer.answered.push_back(*part.answeredBy);
         } else {
             const bool inFlight = part.state == PartState::Waiting && part.count > 0 && !part.retryAt.has_value();
-            answer.missed.push_back({this->settings.services[number], inFlight ? ResultCode::Ok : part.last});
+            answer.missed.push_back({.service = this->settings.services[number],
+                                     .code = inFlight ? ResultCode::Ok : part.last,
+                                     .runs = runsOf(part)});
             answer.failureReply = part.failureReply.has_value() ? part.failureReply : answer.failureReply;
         }
         this->dropLive(part, false, actions);
--- a/src/hickoryshore/dispatch/request_run_test.cpp
+++ b/src/hickoryshore/dispatch/request_run_test.cpp
@@ -1,5 +1,7 @@
 #include "hickoryshore/dispatch/request_run.h"
 
+#include "hickoryshore/shard/retry_policy.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <map>
@@ -316,4 +318,109 @@
     BOOST_TEST(finished.at(0).sent);
 }
 
+/// A run whose parts 1 to 3 of four another VM is asked for.
+struct GroupedFleet : Fleet
+{
+    std::vector<SendAttempt> direct;
+    SendGroup group;
+
+    RequestRun begin()
+    {
+        this->serve(4);
+        RunSettings settings = mergedRun;
+        settings.groups = {{.place = 1, .parts = {1, 2, 3}}};
+        settings.groupTravel = {16ms};
+        RequestRun run = this->run(4, settings);
+        run.start(start, this->actions);
+        const auto all = this->actions;
+        this->direct = this->take<SendAttempt>();
+        this->actions = all;
+        this->group = this->take<SendGroup>().at(0);
+        return run;
+    }
+
+    std::vector<GroupedEnd> allOk() const
+    {
+        std::vector<GroupedEnd> ends;
+        for (const AttemptId attempt : this->group.attempts) {
+            ends.push_back({.attempt = attempt, .end = {}});
+        }
+        return ends;
+    }
+};
+
+BOOST_FIXTURE_TEST_CASE(parts_of_a_group_are_sent_once_and_answered_together, GroupedFleet)
+{
+    RequestRun run = this->begin();
+    BOOST_TEST(this->direct.size() == 1U);
+    BOOST_TEST(this->group.attempts.size() == 3U);
+    // Of four parts one may be missing, so that two of the group are needed at least.
+    BOOST_TEST(this->group.needed == 2U);
+    BOOST_TEST((this->group.answerWithin == 75ms - 16ms - groupMargin));
+    run.onAttemptEnd(start + 8ms, this->direct[0].attempt, {}, true, this->actions);
+    run.onGroupEnd(start + 30ms, this->allOk(), this->actions);
+    const auto finished = this->take<FinishRun>();
+    BOOST_REQUIRE(finished.size() == 1);
+    BOOST_TEST((finished.front().code == ResultCode::Ok));
+    BOOST_TEST(finished.front().answered.size() == 4U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_group_that_did_not_run_is_replaced_by_direct_calls_without_the_budget, GroupedFleet)
+{
+    RequestRun run = this->begin();
+    this->table.setRepeatBudget({.ratio = 0.0, .slack = 0.0}, 1.0);
+    std::vector<GroupedEnd> ends = this->allOk();
+    for (GroupedEnd &end : ends) {
+        end.end = {.code = ResultCode::ConnectFailed, .sent = false};
+    }
+    run.onGroupEnd(start + 1ms, ends, this->actions);
+    BOOST_TEST(this->take<SendAttempt>().size() == 3U);
+}
+
+BOOST_FIXTURE_TEST_CASE(parts_of_a_group_that_may_have_run_are_not_sent_beyond_the_allowed_replicas, GroupedFleet)
+{
+    RequestRun run = this->begin();
+    std::vector<GroupedEnd> ends = this->allOk();
+    ends[0].end.code = ResultCode::OwnerLost;
+    ends[0].runs = 2; // Of two allowed.
+    ends[1].end.code = ResultCode::UpstreamGarbage;
+    ends[1].runs = 1;
+    run.onGroupEnd(start + 20ms, ends, this->actions);
+    const auto sent = this->take<SendAttempt>();
+    BOOST_REQUIRE(sent.size() == 1);
+    BOOST_TEST((sent.front().reason == DirectAttempt::RetryMayHaveRun));
+    run.onAttemptEnd(start + 30ms, sent.front().attempt, {}, true, this->actions);
+    run.onAttemptEnd(start + 30ms, this->direct[0].attempt, {}, true, this->actions);
+    const auto finished = this->take<FinishRun>();
+    BOOST_REQUIRE(finished.size() == 1);
+    BOOST_TEST((finished.front().code == ResultCode::PartialAnswer));
+    BOOST_TEST(finished.front().missed.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_part_still_at_work_over_there_is_hedged_directly_where_it_may, GroupedFleet)
+{
+    RequestRun run = this->begin();
+    std::vector<GroupedEnd> ends = this->allOk();
+    ends[2].stillAtWork = true;
+    ends[2].runs = 1;
+    run.onGroupEnd(start + 50ms, ends, this->actions);
+    const auto sent = this->take<SendAttempt>();
+    BOOST_REQUIRE(sent.size() == 1);
+    BOOST_TEST((sent.front().reason == DirectAttempt::Hedge));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_lost_group_without_which_there_is_no_answer_ends_the_request_at_once, GroupedFleet)
+{
+    RequestRun run = this->begin();
+    std::vector<GroupedEnd> ends = this->allOk();
+    for (GroupedEnd &end : ends) {
+        end.end.code = ResultCode::OwnerLost;
+        end.runs = 2;
+    }
+    run.onGroupEnd(start + 20ms, ends, this->actions);
+    const auto finished = this->take<FinishRun>();
+    BOOST_REQUIRE(finished.size() == 1);
+    BOOST_TEST(!surelyNotRun(finished.front().code));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/hickoryshore/entry/entry_vm.cpp
+++ b/src/hickoryshore/entry/entry_vm.cpp
@@ -88,7 +88,7 @@
       callers(loop, settings.callerListen, {}, this->callerHooks()),
       entryPoints(loop, settings.entryPointListen, {}, this->hooksFor(&EntryVm::answerEntryPoint)),
       readiness(loop, settings.readinessListen, {}, this->hooksFor(&EntryVm::answerReadiness)),
-      peers(loop, settings.peerListen, {}, this->hooksFor(&EntryVm::answerPeer)),
+      peers(loop, settings.peerListen, {}, this->peerHooks()),
       metricsListener(loop, settings.metricsListen, {}, this->hooksFor(&EntryVm::answerMetrics)),
       requests(loop,
                this->settings,
@@ -106,6 +106,10 @@
                 .onReplicaLeaving =
                     [this](EndpointId endpoint) {
                         this->state.markLeaving(endpoint);
+                    },
+                .answerPeer =
+                    [this](HttpCallId call, const HttpAnswer &answer) {
+                        this->peers.answer(call, answer);
                     }}),
       state(loop,
             this->dialect,
@@ -170,6 +174,15 @@
                 }};
 }
 
+HttpListenerHooks EntryVm::peerHooks()
+{
+    HttpListenerHooks hooks = this->hooksFor(&EntryVm::answerPeer);
+    hooks.onClientLeft = [this](HttpCallId call) {
+        this->requests.onPeerLeft(call);
+    };
+    return hooks;
+}
+
 HttpListenerHooks EntryVm::hooksFor(void (EntryVm::*answer)(HttpCallId call, const HttpServerRequest &request))
 {
     return {.onRequest = [this, answer](HttpCallId call, const HttpServerRequest &request) {
@@ -212,6 +225,7 @@
     this->members = view;
     this->ableMembers.setView(monotonicNow(), view);
     this->state.setMembers(view);
+    this->requests.setMembers(*view, portOf(this->settings.peerListen));
     // The largest fleet that was seen: members that seem gone may only be cut off from here, and go on using their
     // share.
     if (view->members.size() > this->largestFleet.size()) {
@@ -273,7 +287,9 @@
 
 void EntryVm::answerPeer(HttpCallId call, const HttpServerRequest &request)
 {
-    if (request.target == departedPath) {
+    if (request.target == aggregatePath) {
+        this->requests.onAggregateRequest(call, request);
+    } else if (request.target == departedPath) {
         this->peers.answer(call, {.body = encodeDeparted(this->state.departedReplicas())});
     } else if (const auto asked = parsePeerTarget(request.target)) {
         this->state.answerPeer(*asked, [this, call](const HttpAnswer &answer) {
--- a/src/hickoryshore/entry/request_answers.cpp
+++ b/src/hickoryshore/entry/request_answers.cpp
@@ -84,10 +84,20 @@
     std::vector<std::string_view> parts;
     std::string signatures;
     for (const AttemptId attempt : outcome.answered) {
-        const UpstreamHttpResponse &reply = request.replies.at(attempt);
-        parts.emplace_back(reply.body);
-        signatures.append(signatures.empty() ? "" : ", ")
-            .append(findHeader(reply.headers, this->dialect.headers.resultSignature).value_or(""));
+        const auto direct = request.replies.find(attempt);
+        signatures.append(signatures.empty() ? "" : ", ");
+        if (direct != request.replies.end()) {
+            parts.emplace_back(direct->second.body);
+            signatures.append(findHeader(direct->second.headers, this->dialect.headers.resultSignature).value_or(""));
+            continue;
+        }
+        const auto group = std::ranges::find_if(request.groups, [attempt](const ActiveGroup &each) {
+            return each.signatures.contains(attempt);
+        });
+        signatures.append(group->signatures.at(attempt));
+    }
+    for (const ActiveGroup &group : request.groups) {
+        parts.emplace_back(group.records);
     }
     HttpAnswer merged;
     merged.headers = {{this->dialect.headers.requestId, request.forwarding->requestId},
@@ -130,15 +140,16 @@
     const Duration age = monotonicNow() - request.arrival;
     writeLog({.level = outcome.code == ResultCode::Ok ? LogLevel::Info : LogLevel::Warn,
               .slice = "entry",
-              .event = "answered",
+              .event = request.forPeer ? "aggregated" : "answered",
               .requestId = id,
               .resultCode = outcome.code,
               .fields = {{"route", request.route->name.value},
-                         {"version", std::to_string(request.table->version)},
+                         {"version", std::to_string(request.forPeer ? 0 : request.table->version)},
                          {"status", std::to_string(status)},
                          {"ageMs", std::to_string(age / 1ms)},
                          {"attempts", std::to_string(request.attempts)},
                          {"hedges", std::to_string(request.hedges)},
+                         {"groups", std::to_string(request.groups.size())},
                          {"missing", std::to_string(outcome.missed.size())},
                          {"missed", missedText(outcome.missed)},
                          {"lastFailure", std::string(resultCodeInfo(request.lastFailure).name)},
--- a/src/hickoryshore/entry/request_attempts.cpp
+++ b/src/hickoryshore/entry/request_attempts.cpp
@@ -67,7 +67,7 @@
     return bytes;
 }
 
-void RequestService::send(HttpCallId call, ActiveRequest &request, const SendAttempt &action)
+void RequestService::send(RunId id, ActiveRequest &request, const SendAttempt &action)
 {
     const Replica &replica = this->replicas.at(action.endpoint);
     const Forwarding &forwarding = *request.forwarding;
@@ -113,7 +113,7 @@
              .fields
              = {{"service", replica.service.value}, {"replica", replica.name}, {"ageMs", milliseconds(action.age)}}});
     }
-    this->attempts[action.attempt] = {.call = call,
+    this->attempts[action.attempt] = {.run = id,
                                       .endpoint = action.endpoint,
                                       .latency = request.latency,
                                       .exchange = this->upstream->start(replica.address, std::move(exchange)),
@@ -127,7 +127,7 @@
     if (found == this->attempts.end()) {
         return;
     }
-    found->second.call = {};
+    found->second.run = {};
     if (action.callerLeft) {
         this->metrics.count(Count::Cancellations);
         this->upstream->abort(found->second.exchange);
@@ -177,7 +177,7 @@
         this->observeService(ended.endpoint, result.latency);
         ended.latency->add(this->table.distanceOf(ended.endpoint), result.latency);
     }
-    const auto waiting = this->active.find(ended.call);
+    const auto waiting = this->active.find(ended.run);
     if (waiting == this->active.end()) {
         this->metrics.count(Count::LateReplies);
         return;
@@ -191,7 +191,7 @@
     }
     std::vector<RunAction> actions;
     waiting->second.run->onAttemptEnd(now, attempt, result, isReply, actions);
-    this->perform(ended.call, actions);
+    this->perform(ended.run, actions);
 }
 
 /// Logs a changed belief about a replica. What waits for a connection to one that takes nothing more goes elsewhere.
--- /dev/null
+++ b/src/hickoryshore/entry/request_groups.cpp
@@ -0,0 +1,291 @@
+// Parts of requests by way of other VMs: asked of an aggregator over there, and served as one for others.
+#include "hickoryshore/clock/clock.h"
+#include "hickoryshore/dispatch/record_merge.h"
+#include "hickoryshore/entry/request_service.h"
+#include "hickoryshore/log/log.h"
+
+#include "aggregate.pb.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <xxhash.h>
+
+namespace hickoryshore {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t messageVersion = 1;
+constexpr int statusOk = 200;
+constexpr int statusBadRequest = 400;
+constexpr int statusUnavailable = 503;
+/// A call whose answer is so much overdue is given up; until then the answer is still of use.
+constexpr Duration longestDelay = 400ms;
+/// VMs with less than this part of the most processor of the fleet are not asked: they would hold up many parts.
+constexpr int enoughCapacityDivisor = 2;
+constexpr std::string_view slice = "entry";
+
+std::uint32_t wholeMilliseconds(Duration duration)
+{
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(duration / 1ms, 0));
+}
+
+/// What a call without a usable answer says of all its parts.
+AttemptEnd endOfCall(const HttpExchangeEnd &end)
+{
+    const bool refused = !end.failure.has_value() && end.response.status != statusOk;
+    if (refused || !end.sent || end.failure == HttpFailure::Connect) {
+        return {.code = ResultCode::ConnectFailed, .sent = false};
+    }
+    return {.code = ResultCode::OwnerLost};
+}
+
+/// The result code of a part; one that this version does not know counts as a failure that may have run.
+ResultCode codeOf(std::uint32_t number)
+{
+    return resultCodeFromNumber(static_cast<int>(number)).value_or(ResultCode::UpstreamError);
+}
+
+} // namespace
+
+void RequestService::setMembers(const MembershipView &view, int peerPort)
+{
+    int mostCapacity = 0;
+    for (const Member &member : view.members) {
+        mostCapacity = std::max(mostCapacity, member.capacity);
+    }
+    std::vector<std::pair<std::uint64_t, AggregatorCandidate>> ranked;
+    for (const Member &member : view.members) {
+        const bool isAble = isUsable(member) && member.configRevision.value > 0
+            && member.capacity * enoughCapacityDivisor >= mostCapacity;
+        if (isAble && member.dataCentre != this->settings.dataCentre) {
+            const std::uint64_t weight
+                = XXH3_64bits_withSeed(member.vm.value.data(), member.vm.value.size(), this->ownHash);
+            ranked.push_back({weight,
+                              {.vm = member.vm,
+                               .processId = member.processId,
+                               .server = member.address + ":" + std::to_string(peerPort),
+                               .place = this->placeOf(member.dataCentre),
+                               .near = member.region == this->settings.region}});
+        }
+    }
+    std::ranges::sort(ranked, {}, [](const auto &entry) {
+        return std::tie(entry.first, entry.second.vm);
+    });
+    std::vector<AggregatorCandidate> candidates;
+    for (auto &[weight, candidate] : ranked) {
+        candidates.push_back(std::move(candidate));
+    }
+    this->aggregators.setCandidates(monotonicNow(), std::move(candidates));
+}
+
+std::vector<RequestService::ActiveGroup> RequestService::planGroups(RunSettings &run,
+                                                                    Instant now,
+                                                                    const RouteLatency &latency)
+{
+    std::vector<ActiveGroup> groups;
+    PlaceSet able = this->aggregators.places(now);
+    for (PlaceNumber place = 0; place < mostPlaces; ++place) {
+        if ((able & placeBit(place)) != 0
+            && !leavesTimeToHedge(latency, run.answerBy - now, this->aggregators.travel(place))) {
+            able &= ~placeBit(place);
+        }
+    }
+    if (able == 0) {
+        return groups;
+    }
+    std::vector<PlaceSet> partPlaces;
+    for (const ServiceId &service : run.services) {
+        partPlaces.push_back(this->table.placesOf(now, service, latency));
+    }
+    for (PartGroup &group :
+         hickoryshore::planGroups(partPlaces, able, this->aggregators.nearPlaces(), this->random())) {
+        const auto asked = this->aggregators.choose(now, group.place);
+        if (asked.has_value()) {
+            groups.push_back({.asked = *asked, .parts = group.parts});
+            run.groupTravel.push_back(this->aggregators.travel(group.place));
+            run.groups.push_back(std::move(group));
+        }
+    }
+    return groups;
+}
+
+void RequestService::sendGroup(RunId id, ActiveRequest &request, const SendGroup &action)
+{
+    ActiveGroup &group = request.groups[action.group];
+    group.attempts = action.attempts;
+    wire::AggregateRequest wire;
+    wire.set_version(messageVersion);
+    wire.set_request_id(request.forwarding->requestId);
+    wire.set_route(request.route->name.value);
+    wire.set_head(request.forwarding->head);
+    wire.set_tail(request.forwarding->tail);
+    for (const std::size_t part : group.parts) {
+        wire.add_services(request.route->shards[part].value);
+    }
+    wire.set_remaining_ms(wholeMilliseconds(action.remaining));
+    wire.set_answer_within_ms(wholeMilliseconds(action.answerWithin));
+    wire.set_top_records(static_cast<std::uint32_t>(request.route->topRecords));
+    wire.set_needed(static_cast<std::uint32_t>(action.needed));
+    wire.set_attempts(static_cast<std::uint32_t>(std::max(1, request.route->maximumAttempts)));
+    const Instant now = monotonicNow();
+    const Duration patience = action.answerWithin + this->aggregators.travel(group.asked.place);
+    group.due = now + patience;
+    HttpExchange exchange;
+    exchange.request = formatHttpRequest("POST", aggregatePath, group.asked.server, wire.SerializeAsString());
+    exchange.timeout = action.remaining;
+    exchange.onEnd = [this, id, number = action.group, call = GroupCall{group.asked.vm, now, group.due}](
+                         const HttpExchangeEnd &end) {
+        this->onGroupEnd(id, number, end, call);
+    };
+    request.attempts += static_cast<int>(group.parts.size());
+    this->metrics.count(Count::Groups);
+    this->aggregators.countSent(group.asked.vm, group.due);
+    group.exchange = this->peers->start(group.asked.server, std::move(exchange));
+}
+
+void RequestService::onGroupEnd(RunId id, std::size_t number, const HttpExchangeEnd &end, const GroupCall &call)
+{
+    const Instant now = monotonicNow();
+    wire::AggregateReply reply;
+    const std::string &body = end.response.body;
+    const bool answered = !end.failure.has_value() && end.response.status == statusOk
+        && reply.ParseFromArray(body.data(), static_cast<int>(body.size()));
+    const Duration travel = now - call.sentAt - std::chrono::microseconds(reply.held_us());
+    // With too few parts it is right not to answer in time.
+    const bool late = now > call.due + AggregatorTable::lateAnswer && travel > AggregatorTable::lateAnswer;
+    this->aggregators.countEnd(now, call.vm, call.due, {.answered = answered && !late, .travel = travel});
+    if (!answered || late) {
+        this->metrics.count(Count::GroupFailures);
+        writeLog({.level = LogLevel::Warn,
+                  .slice = slice,
+                  .event = answered ? "aggregatorLate" : "aggregatorFailed",
+                  .fields = {{"member", call.vm.value},
+                             {"status", std::to_string(end.response.status)},
+                             {"ageMs", std::to_string((now - call.sentAt) / 1ms)}}});
+    }
+    const auto waiting = this->active.find(id);
+    if (waiting == this->active.end()) {
+        return;
+    }
+    ActiveGroup &group = waiting->second.groups[number];
+    group.ended = true;
+    std::vector<GroupedEnd> ends;
+    if (answered && static_cast<std::size_t>(reply.parts_size()) == group.attempts.size()) {
+        ends = takeReply(group, reply);
+    } else {
+        const AttemptEnd failure = endOfCall(end);
+        const int runs = failure.sent ? std::max(1, waiting->second.route->maximumAttempts) : 0;
+        for (const AttemptId attempt : group.attempts) {
+            ends.push_back({.attempt = attempt, .end = failure, .runs = runs});
+        }
+    }
+    std::vector<RunAction> actions;
+    waiting->second.run->onGroupEnd(now, ends, actions);
+    this->perform(id, actions);
+}
+
+std::vector<GroupedEnd> RequestService::takeReply(ActiveGroup &group, const wire::AggregateReply &reply)
+{
+    std::vector<GroupedEnd> ends;
+    for (int each = 0; each < reply.parts_size(); ++each) {
+        const wire::AggregatedPart &part = reply.parts(each);
+        GroupedEnd end{.attempt = group.attempts[static_cast<std::size_t>(each)], .end = {}};
+        if (part.signature().empty()) {
+            end.runs = static_cast<int>(part.runs());
+            end.stillAtWork = part.result_code() == 0;
+            end.end.code = codeOf(part.result_code());
+            end.end.sent = part.runs() > 0;
+        } else {
+            group.signatures[end.attempt] = part.signature();
+        }
+        ends.push_back(std::move(end));
+    }
+    group.records = reply.records();
+    return ends;
+}
+
+/// The latencies of the route by that name, where this VM serves it, too.
+std::shared_ptr<RouteLatency> RequestService::latencyOfPeer(const RouteId &route, Duration remaining)
+{
+    const auto found = this->latencies.find(route);
+    return found == this->latencies.end() ? std::make_shared<RouteLatency>(remaining) : found->second;
+}
+
+void RequestService::onAggregateRequest(HttpCallId call, const HttpServerRequest &request)
+{
+    wire::AggregateRequest wire;
+    const bool readable = wire.ParseFromArray(request.body.data(), static_cast<int>(request.body.size()));
+    if (!readable || wire.version() != messageVersion || wire.request_id().empty()) {
+        writeLog({.level = LogLevel::Warn,
+                  .slice = slice,
+                  .event = "aggregateRefused",
+                  .requestId = wire.request_id(),
+                  .fields = {{"version", std::to_string(wire.version())}}});
+        this->hooks.answerPeer(call, {.status = readable ? statusUnavailable : statusBadRequest});
+        return;
+    }
+    const Instant now = monotonicNow();
+    Route route{.name = {wire.route()}, .idempotent = true, .topRecords = wire.top_records()};
+    for (const std::string &service : wire.services()) {
+        route.shards.push_back({service});
+    }
+    RunSettings run{.services = route.shards,
+                    .merged = true,
+                    .idempotent = true,
+                    .maximumAttempts = static_cast<int>(std::max(1U, wire.attempts())),
+                    .minimumCoverage = static_cast<double>(wire.needed()) / std::max(1, wire.services_size()),
+                    .answerBy = now + std::chrono::milliseconds(wire.answer_within_ms()),
+                    .deadline = now + std::chrono::milliseconds(wire.remaining_ms())};
+    const RunId id{++this->lastRun};
+    this->peerCalls[call] = id;
+    ActiveRequest &started = this->active[id];
+    started.call = call;
+    started.forPeer = true;
+    started.arrival = now;
+    started.latency = this->latencyOfPeer(route.name, run.deadline - now);
+    started.ownRoute = std::make_shared<const Route>(std::move(route));
+    started.route = started.ownRoute.get();
+    started.forwarding = std::make_shared<Forwarding>(Forwarding{.requestId = wire.request_id(),
+                                                                 .head = wire.head(),
+                                                                 .tail = wire.tail(),
+                                                                 .isHead = wire.head().starts_with("HEAD ")});
+    this->metrics.count(Count::Aggregations);
+    this->start(id, started, std::move(run));
+}
+
+void RequestService::onPeerLeft(HttpCallId call)
+{
+    const auto found = this->peerCalls.find(call);
+    if (found != this->peerCalls.end()) {
+        this->abandon(found->second);
+        this->peerCalls.erase(call);
+    }
+}
+
+HttpAnswer RequestService::answerForPeer(const ActiveRequest &request, const FinishRun &outcome) const
+{
+    wire::AggregateReply reply;
+    std::vector<std::string_view> records;
+    auto answered = outcome.answered.begin();
+    auto missed = outcome.missed.begin();
+    for (const ServiceId &service : request.route->shards) {
+        wire::AggregatedPart &part = *reply.add_parts();
+        if (missed != outcome.missed.end() && missed->service == service) {
+            part.set_result_code(static_cast<std::uint32_t>(missed->code));
+            part.set_runs(static_cast<std::uint32_t>(missed->runs));
+            ++missed;
+            continue;
+        }
+        const UpstreamHttpResponse &result = request.replies.at(*answered++);
+        records.emplace_back(result.body);
+        part.set_signature(std::string(findHeader(result.headers, this->dialect.headers.resultSignature).value_or("")));
+    }
+    reply.set_records(greatestRecords(records, this->dialect.recordBytes, request.route->topRecords));
+    reply.set_held_us(static_cast<std::uint32_t>((monotonicNow() - request.arrival) / 1us));
+    return {.body = reply.SerializeAsString()};
+}
+
+} // namespace hickoryshore
--- /dev/null
+++ b/src/hickoryshore/entry/request_groups_test.cpp
@@ -0,0 +1,281 @@
+// Parts of a request by way of a VM of another data centre: two RequestServices on one event loop, with stand-ins of
+// replicas.
+#include "entry_fixture.h"
+
+#include <algorithm>
+
+using namespace hickoryshore;
+using namespace hickoryshore::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int peerPort = 23701;
+constexpr int shardCount = 4;
+
+const std::string query = "GET /a HTTP/1.1\r\nHost: h\r\nId: 9\r\nLeft: 1500\r\n\r\n";
+
+/// An entry in the data centre "north" whose shards all stand in "south", and a VM there.
+struct TwoVms : Entry
+{
+    int calls = 0; ///< For several parts, at the other VM.
+    bool silent = false; ///< The other VM reads and does not answer.
+    int peerStatus = 0; ///< Answered by the other VM in place of parts; zero: none.
+    std::vector<std::string> ran; ///< Shards, as often as they were asked.
+    EntrySettings southSettings{.vm = {"vm-south"},
+                                .dataCentre = {"south"},
+                                .region = {"s"},
+                                .regions = {{{"north"}, {"n"}}, {{"south"}, {"s"}}},
+                                .memoryBytes = 8 * 1024 * 1024,
+                                .repeats = {.ratio = 0.2, .slack = 100}};
+    RequestService south{loop,
+                         southSettings,
+                         dialect,
+                         metrics,
+                         2,
+                         {.comeBackAfter =
+                              [] {
+                                  return Duration(300ms);
+                              },
+                          .answerPeer =
+                              [this](HttpCallId call, const HttpAnswer &answer) {
+                                  this->peers.answer(call, answer);
+                              }}};
+    HttpListener peers{loop,
+                       "127.0.0.1:" + std::to_string(peerPort),
+                       {},
+                       {.onRequest =
+                            [this](HttpCallId call, const HttpServerRequest &request) {
+                                ++this->calls;
+                                if (this->peerStatus != 0) {
+                                    this->peers.answer(call, {.status = this->peerStatus});
+                                } else if (!this->silent) {
+                                    this->south.onAggregateRequest(call, request);
+                                }
+                            },
+                        .onClientLeft =
+                            [this](HttpCallId call) {
+                                this->south.onPeerLeft(call);
+                            }}};
+
+    /// Makes both know the replicas, and the entry the other VM.
+    void serve(RequestService &entry, const Handler &handler)
+    {
+        Route route{.name = {"r"},
+                    .host = "h",
+                    .pathPrefix = "/",
+                    .idempotent = true,
+                    .timeout = 1200ms,
+                    .latencyObjective = 500ms,
+                    .maximumAttempts = 2,
+                    .topRecords = 3,
+                    .minimumCoverage = 0.7};
+        for (int shard = 0; shard < shardCount; ++shard) {
+            route.shards.push_back({"s" + std::to_string(shard)});
+        }
+        const auto table = std::make_shared<const RouteTable>(RouteTable{.version = 1, .routes = {route}});
+        for (int shard = 0; shard < shardCount; ++shard) {
+            const std::string name = "s" + std::to_string(shard);
+            this->addReplica(
+                name, [this, name, handler](HttpListener &listener, HttpCallId call, const HttpServerRequest &request) {
+                    this->ran.push_back(name);
+                    handler(listener, call, request);
+                });
+            ReplicaRecord record = this->registry.replicas().at("replica-" + std::to_string(shard)).record;
+            record.dataCentre = {"south"};
+            this->registry.put(monotonicNow(), "replica-" + std::to_string(shard), record);
+        }
+        for (RequestService *service : {&entry, &this->south}) {
+            service->setRouteTable(table);
+            service->setReplicas(this->registry);
+        }
+        MembershipView view{.self = {"vm-north"}, .members = {}};
+        view.members.push_back({.vm = {"vm-south"},
+                                .dataCentre = {"south"},
+                                .region = {"s"},
+                                .address = "127.0.0.1",
+                                .capacity = 100,
+                                .processId = 1,
+                                .configRevision = {1}});
+        entry.setMembers(view, peerPort);
+    }
+};
+
+/// With an entry of its own, whose settings are complete.
+struct Fleet : TwoVms
+{
+    EntrySettings northSettings = [this] {
+        EntrySettings north = this->southSettings;
+        north.vm = {"vm-north"};
+        north.dataCentre = {"north"};
+        north.region = {"n"};
+        return north;
+    }();
+    RequestService north{loop,
+                         northSettings,
+                         dialect,
+                         metrics,
+                         1,
+                         {.answer =
+                              [this](HttpCallId call, const HttpAnswer &answer) {
+                                  this->northFront.answer(call, answer);
+                              },
+                          .comeBackAfter =
+                              [] {
+                                  return Duration(300ms);
+                              }}};
+    HttpListener northFront{loop,
+                            "127.0.0.1:23702",
+                            {},
+                            {.onRequest =
+                                 [this](HttpCallId call, const HttpServerRequest &request) {
+                                     this->north.onRequest(call, request);
+                                 },
+                             .onClientLeft =
+                                 [this](HttpCallId call) {
+                                     this->north.onClientLeft(call);
+                                 }}};
+
+    HttpExchangeId ask(std::function<void(const HttpExchangeEnd &)> onEnd)
+    {
+        HttpExchange exchange{.request = query, .timeout = 5s};
+        exchange.onEnd = std::move(onEnd);
+        return this->client->start("127.0.0.1:23702", std::move(exchange));
+    }
+
+    /// Asks so often, once the aggregator is warm.
+    std::vector<UpstreamHttpResponse> answers(std::size_t count)
+    {
+        std::vector<UpstreamHttpResponse> got;
+        std::function<void()> next = [&] {
+            this->ask([&](const HttpExchangeEnd &end) {
+                got.push_back(end.response);
+                if (got.size() < count) {
+                    next();
+                } else {
+                    this->loop.stop();
+                }
+            });
+        };
+        this->loop.after(AggregatorTable::warmUp + 10ms, next);
+        this->run();
+        BOOST_REQUIRE(got.size() == count);
+        return got;
+    }
+};
+
+std::string headerOf(const UpstreamHttpResponse &response, std::string_view name)
+{
+    return std::string(findHeader(response.headers, name).value_or(""));
+}
+
+Entry::Handler records(const std::string &body)
+{
+    return [body](HttpListener &listener, HttpCallId call, const HttpServerRequest &request) {
+        const std::string replica(findHeader(request.headers, "For").value_or(""));
+        listener.answer(call, {.headers = {echo(request), {"Sign", "of-" + replica}}, .body = body});
+    };
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(request_groups, Fleet)
+
+BOOST_AUTO_TEST_CASE(parts_of_another_data_centre_come_in_one_merged_answer)
+{
+    this->serve(this->north, records("aabbcc"));
+    const UpstreamHttpResponse answer = this->answers(1).front();
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.body == "cccccc");
+    BOOST_TEST(headerOf(answer, "Signs") == "of-replica-0, of-replica-1, of-replica-2, of-replica-3");
+    BOOST_TEST(headerOf(answer, "Missing") == "0");
+    BOOST_TEST(this->calls == 1);
+    BOOST_TEST(this->ran.size() == 4U);
+    BOOST_TEST(this->metrics.value(Count::Aggregations) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_vm_of_an_older_version_or_one_that_refuses_is_passed_over_by_direct_calls)
+{
+    this->peerStatus = 404;
+    this->serve(this->north, records("aa"));
+    const auto answers = this->answers(2);
+    for (const UpstreamHttpResponse &answer : answers) {
+        BOOST_TEST(answer.status == 200);
+        BOOST_TEST(headerOf(answer, "Missing") == "0");
+    }
+    // The second request does not ask there again.
+    BOOST_TEST(this->calls == 1);
+    BOOST_TEST(this->ran.size() == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(a_vm_that_froze_costs_one_request_and_none_of_its_parts_runs_too_often)
+{
+    this->silent = true;
+    this->serve(this->north, records("aa"));
+    const auto answers = this->answers(2);
+    BOOST_TEST(answers[0].status >= 500);
+    BOOST_TEST(answers[0].status != 503); // It may have run.
+    BOOST_TEST(answers[1].status == 200);
+    BOOST_TEST(this->calls == 1);
+    BOOST_TEST(this->ran.size() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(a_part_that_fails_over_there_is_missing_honestly)
+{
+    this->serve(this->north, [](HttpListener &listener, HttpCallId call, const HttpServerRequest &request) {
+        const std::string replica(findHeader(request.headers, "For").value_or(""));
+        const int status = replica == "replica-2" ? 500 : 200;
+        listener.answer(call, {.status = status, .headers = {echo(request), {"Sign", replica}}, .body = "aa"});
+    });
+    const UpstreamHttpResponse answer = this->answers(1).front();
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(headerOf(answer, "Missing") == "1");
+    BOOST_TEST(headerOf(answer, "Signs") == "replica-0, replica-1, replica-3");
+    BOOST_TEST(answer.body == "aaaaaa");
+    BOOST_TEST(std::ranges::count(this->ran, "s2") <= 2);
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_ends_the_work_at_both_levels)
+{
+    std::vector<HttpCallId> asked;
+    this->serve(this->north, [&asked](HttpListener &, HttpCallId call, const HttpServerRequest &) {
+        asked.push_back(call);
+    });
+    HttpExchangeId exchange;
+    this->loop.after(AggregatorTable::warmUp + 10ms, [this, &exchange] {
+        exchange = this->ask({});
+    });
+    std::size_t atWork = 0;
+    this->loop.after(AggregatorTable::warmUp + 100ms, [this, &exchange, &atWork] {
+        atWork = this->south.inFlight();
+        this->client->abort(exchange);
+    });
+    std::size_t left = 1;
+    this->loop.after(AggregatorTable::warmUp + 400ms, [this, &left] {
+        left = this->south.inFlight() + this->north.inFlight();
+        this->loop.stop();
+    });
+    this->run();
+    BOOST_TEST(asked.size() == 4U);
+    BOOST_TEST(atWork == 1U);
+    BOOST_TEST(left == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(bytes_that_are_no_request_for_parts_are_refused)
+{
+    this->serve(this->north, records("aa"));
+    int status = 0;
+    HttpExchange exchange{.request = formatHttpRequest("POST", aggregatePath, "h", "\x01garbage"), .timeout = 2s};
+    exchange.onEnd = [this, &status](const HttpExchangeEnd &end) {
+        status = end.response.status;
+        this->loop.stop();
+    };
+    this->loop.post([this, &exchange] {
+        this->client->start("127.0.0.1:" + std::to_string(peerPort), std::move(exchange));
+    });
+    this->run();
+    BOOST_TEST(status == 400);
+    BOOST_TEST(this->ran.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/hickoryshore/entry/request_service.cpp
+++ b/src/hickoryshore/entry/request_service.cpp
@@ -5,9 +5,12 @@
 
 #include <algorithm>
 #include <charconv>
+#include <map>
 #include <unordered_set>
 #include <utility>
 
+#include <xxhash.h>
+
 namespace hickoryshore {
 
 namespace {
@@ -25,6 +28,10 @@
 /// Of this VM's memory, what one answer of a replica may take, and all that are being read together.
 constexpr std::size_t memoryDivisorOfAnswer = 16;
 constexpr std::size_t memoryDivisorTogether = 4;
+/// To one VM that is asked for parts; while all are in use, the parts are asked for directly.
+constexpr int connectionsPerPeer = 8;
+/// Shorter than the idle time-out of the other VM, which would otherwise close a connection that is taken into use.
+constexpr Duration peerIdleLimit = 30s;
 constexpr std::string_view slice = "entry";
 
 HttpConnectionSettings connectionSettings(std::size_t memoryBytes)
@@ -36,6 +43,14 @@
             .bytesTogether = memoryBytes / memoryDivisorTogether};
 }
 
+HttpConnectionSettings peerConnectionSettings(std::size_t memoryBytes)
+{
+    return {.connectionsPerServer = connectionsPerPeer,
+            .idleLimit = peerIdleLimit,
+            .responses = {.bodyBytes = memoryBytes / memoryDivisorOfAnswer},
+            .bytesTogether = memoryBytes / memoryDivisorTogether};
+}
+
 Duration parseMilliseconds(std::optional<std::string_view> text, Duration otherwise)
 {
     std::int64_t milliseconds = 0;
@@ -61,9 +76,17 @@
       hooks(std::move(hooks)),
       table(seed),
       split(seed),
-      upstream(std::make_shared<HttpConnections>(loop, connectionSettings(settings.memoryBytes)))
+      upstream(std::make_shared<HttpConnections>(loop, connectionSettings(settings.memoryBytes))),
+      peers(std::make_shared<HttpConnections>(loop, peerConnectionSettings(settings.memoryBytes))),
+      ownHash(XXH3_64bits(settings.vm.value.data(), settings.vm.value.size())),
+      random(static_cast<std::minstd_rand::result_type>(seed % (std::minstd_rand::modulus - 1) + 1))
 {
     this->repeats = settings.repeats;
+    this->places[settings.dataCentre] = ownPlace;
+    const std::map<DataCentreId, RegionId> others(settings.regions.begin(), settings.regions.end());
+    for (const auto &[dataCentre, region] : others) {
+        this->places.try_emplace(dataCentre, static_cast<PlaceNumber>(this->places.size()));
+    }
     this->setShare(1.0);
 }
 
@@ -119,7 +142,7 @@
         direct.push_back({.endpoint = replica.endpoint,
                           .service = record.service,
                           .distance = near ? Distance::SameRegion : Distance::OtherRegion,
-                          .sameDataCentre = record.dataCentre == this->settings.dataCentre,
+                          .place = this->placeOf(record.dataCentre),
                           .slots = record.slots,
                           .draining = replica.leaving,
                           .warmUpLeft = record.warmUpLeft});
@@ -238,89 +261,129 @@
     const Instant now = monotonicNow();
     const Duration remaining = parseMilliseconds(
         findHeader(request.headers, this->dialect.headers.remainingMilliseconds), route.timeout + callerTravel);
-    ActiveRequest &started = this->active[call];
+    const RunId id{++this->lastRun};
+    this->callers[call] = id;
+    ActiveRequest &started = this->active[id];
+    started.call = call;
     started.table = this->routeTable;
     started.route = &route;
     started.arrival = now;
     started.forwarding = this->forwardingOf(request);
     started.latency = this->latencyOf(route);
-    started.run = std::make_unique<RequestRun>(
-        this->runSettings(route, now, remaining), this->table, *started.latency, this->lastAttempt);
+    RunSettings run = this->runSettings(route, now, remaining);
+    if (run.merged) {
+        started.groups = this->planGroups(run, now, *started.latency);
+    }
+    this->start(id, started, std::move(run));
+}
+
+void RequestService::start(RunId id, ActiveRequest &started, RunSettings run)
+{
+    started.run = std::make_unique<RequestRun>(std::move(run), this->table, *started.latency, this->lastAttempt);
     std::vector<RunAction> actions;
-    started.run->start(now, actions);
-    this->perform(call, actions);
+    started.run->start(monotonicNow(), actions);
+    this->perform(id, actions);
 }
 
-void RequestService::perform(HttpCallId call, std::vector<RunAction> &actions)
+void RequestService::perform(RunId id, std::vector<RunAction> &actions)
 {
     for (const RunAction &action : actions) {
         if (const auto *send = std::get_if<SendAttempt>(&action)) {
-            this->send(call, this->active.at(call), *send);
+            this->send(id, this->active.at(id), *send);
+        } else if (const auto *group = std::get_if<SendGroup>(&action)) {
+            this->sendGroup(id, this->active.at(id), *group);
         } else if (const auto *drop = std::get_if<DropAttempt>(&action)) {
             this->drop(*drop);
         } else if (const auto *outcome = std::get_if<FinishRun>(&action)) {
-            this->finish(call, *outcome);
+            this->finish(id, *outcome);
         }
     }
-    const auto found = this->active.find(call);
+    const auto found = this->active.find(id);
     if (found != this->active.end()) {
-        this->armTimer(call, found->second);
+        this->armTimer(id, found->second);
     }
 }
 
-void RequestService::armTimer(HttpCallId call, ActiveRequest &request)
+void RequestService::armTimer(RunId id, ActiveRequest &request)
 {
     const auto next = request.run->nextTimer();
     if (!next.has_value() || *next >= request.timerAt) {
         return;
     }
     request.timerAt = *next;
-    this->loop.after(std::max(*next - monotonicNow(), Duration(0)), [this, call, at = *next] {
-        const auto found = this->active.find(call);
+    this->loop.after(std::max(*next - monotonicNow(), Duration(0)), [this, id, at = *next] {
+        const auto found = this->active.find(id);
         if (found == this->active.end() || found->second.timerAt != at) {
             return;
         }
         found->second.timerAt = Instant::max();
         std::vector<RunAction> actions;
         found->second.run->onTimer(monotonicNow(), actions);
-        this->perform(call, actions);
+        this->perform(id, actions);
     });
 }
 
-void RequestService::finish(HttpCallId call, const FinishRun &outcome)
+void RequestService::finish(RunId id, const FinishRun &outcome)
 {
-    const auto found = this->active.find(call);
+    const auto found = this->active.find(id);
     const ActiveRequest finished = std::move(found->second);
     this->active.erase(found);
+    if (finished.forPeer) {
+        this->peerCalls.erase(finished.call);
+        this->logFinish(finished, outcome, 0);
+        this->hooks.answerPeer(finished.call, this->answerForPeer(finished, outcome));
+        return;
+    }
+    this->callers.erase(finished.call);
     const HttpAnswer reply = this->answerOf(finished, outcome);
     this->metrics.countAnswer(outcome.code);
     const Duration age = monotonicNow() - finished.arrival;
     this->metrics.observe(Latency::Query, age);
     this->routeLatencies.observe(finished.route->name.value, age);
     this->logFinish(finished, outcome, reply.status);
-    this->hooks.answer(call, reply);
+    this->hooks.answer(finished.call, reply);
 }
 
 void RequestService::onClientLeft(HttpCallId call)
 {
-    const auto found = this->active.find(call);
-    if (found == this->active.end()) {
+    const auto found = this->callers.find(call);
+    if (found == this->callers.end()) {
         return;
     }
+    this->metrics.countAnswer(ResultCode::Cancelled);
+    this->abandon(found->second);
+    this->callers.erase(call);
+}
+
+/// Whoever asked has gone: all that is under way for the request ends.
+void RequestService::abandon(RunId id)
+{
+    const auto found = this->active.find(id);
     std::vector<RunAction> actions;
     found->second.run->abandon(actions);
-    this->metrics.countAnswer(ResultCode::Cancelled);
     writeLog({.slice = slice,
-              .event = "callerLeft",
+              .event = found->second.forPeer ? "peerLeft" : "callerLeft",
               .requestId = found->second.forwarding->requestId,
               .fields = {{"ageMs", std::to_string((monotonicNow() - found->second.arrival) / 1ms)},
                          {"attempts", std::to_string(found->second.attempts)}}});
     for (const RunAction &action : actions) {
         this->drop(std::get<DropAttempt>(action));
     }
+    for (const ActiveGroup &group : found->second.groups) {
+        if (!group.ended) {
+            this->peers->abort(group.exchange);
+            this->aggregators.countDropped(group.asked.vm, group.due);
+        }
+    }
     this->active.erase(found);
 }
 
+PlaceNumber RequestService::placeOf(const DataCentreId &dataCentre) const
+{
+    const auto found = this->places.find(dataCentre);
+    return found == this->places.end() ? mostPlaces : found->second;
+}
+
 std::size_t RequestService::inFlight() const
 {
     return this->active.size();
--- a/src/hickoryshore/entry/state_service.cpp
+++ b/src/hickoryshore/entry/state_service.cpp
@@ -23,8 +23,8 @@
 constexpr Duration patienceWithSource = 400ms;
 /// The same for registrations: a watch is renewed each 300 ms at the most often, and brings what came meanwhile.
 constexpr Duration patienceWithWatch = 1s;
-/// How often another VM is asked whether it knows of newer registrations: together with the patience within the four
-/// seconds after which a VM in reach of the store has to follow it.
+/// How often another VM is asked whether it knows of newer registrations. A VM that was cut off follows the store again
+/// only when its watch has failed, and so do those that follow it.
 constexpr Duration freshnessCheck = 2s;
 /// Of the changes that come at once, so many are logged one by one.
 constexpr std::size_t loggedChanges = 8;
@@ -410,15 +410,17 @@
     this->hear(Configuration, {.number = version}, from);
 }
 
-/// A watch that the store has lost without a sign waits as long as one without changes: another VM tells.
+/// A watch that the store has lost without a sign waits as long as one without changes, and the VM that is followed may
+/// be in that state: another one tells.
 void StateService::checkFreshness()
 {
     const StoreRevision after = this->known(Replicas);
     this->store.askChanges(
         this->prefixes[Replicas].name, after, [this](const Member &peer, const ChangesResult &result) {
             const auto *changes = std::get_if<StoreChanges>(&result);
-            if (changes != nullptr && !changes->changes.empty()) {
-                this->hear(Replicas, {changes->asOf.era, changes->changes.back().revision}, peer.vm);
+            if (changes != nullptr && this->concerns(Replicas, changes->changes)) {
+                this->prefixes[Replicas].follower.onPeerChanges(monotonicNow(), *changes, this->actions);
+                this->perform(Replicas);
             } else if (changes == nullptr && std::get<StoreFailure>(result) == StoreFailure::HistoryGone) {
                 // It is ahead by more than it remembers, or the store has come back from an older copy.
                 this->takeFrom(peer, Replicas);
--- a/src/hickoryshore/entry/store_sharing.cpp
+++ b/src/hickoryshore/entry/store_sharing.cpp
@@ -15,16 +15,14 @@
 
 using namespace std::chrono_literals;
 
-/// In a fleet of at most this size each VM calls the store itself: that is the shortest way for a change.
-constexpr std::size_t smallFleet = 32;
 /// One may fail, and the other VMs of its data centre still read nearby.
 constexpr std::size_t readersPerDataCentre = 2;
 /// Every so many failures the store itself is tried.
 constexpr int sourcesBeforeStore = 3;
 /// A watch at a peer waits only so long, so that a peer that has stopped is noticed.
-constexpr Duration longestPeerWait = 2s;
+constexpr Duration longestPeerWait = 1s;
 /// Beyond its wait, a call to a peer takes one way there and back and a listing at most.
-constexpr Duration peerTimeout = 800ms;
+constexpr Duration peerTimeout = 600ms;
 /// Two prefixes are followed at each peer, and a newer configuration may be asked for beside.
 constexpr int connectionsPerPeer = 6;
 constexpr Duration peerIdleLimit = 5s;
@@ -115,17 +113,16 @@
     std::ranges::sort(able, [](const Member *left, const Member *right) {
         return std::pair(-left->capacity, left->vm) < std::pair(-right->capacity, right->vm);
     });
-    if (view.members.size() > smallFleet) {
-        able.resize(std::min(able.size(), readersPerDataCentre));
-    }
     std::vector<VmId> readers;
     for (const Member *member : able) {
-        readers.push_back(member->vm);
+        if (readers.size() < readersPerDataCentre) {
+            readers.push_back(member->vm);
+        }
     }
     return readers;
 }
 
-std::optional<Member> storeSource(const MembershipView &view, int failures, std::uint64_t random)
+std::optional<Member> storeSource(const MembershipView &view, int failures, std::uint64_t turn)
 {
     const Member *self = findMember(view, view.self);
     if (self == nullptr || view.members.size() < 2) {
@@ -161,7 +158,7 @@
     if (best.empty()) {
         return std::nullopt;
     }
-    return *best[random % best.size()];
+    return *best[turn % best.size()];
 }
 
 StoreSharing::StoreSharing(EventLoop &loop, StoreAccess store, int peerPort, std::uint64_t seed)
@@ -170,7 +167,8 @@
       peerPort(peerPort),
       random(seed),
       peers(std::make_shared<HttpConnections>(
-          loop, HttpConnectionSettings{.connectionsPerServer = connectionsPerPeer, .idleLimit = peerIdleLimit}))
+          loop, HttpConnectionSettings{.connectionsPerServer = connectionsPerPeer, .idleLimit = peerIdleLimit})),
+      firstTurn(seed)
 { }
 
 void StoreSharing::setMembers(std::shared_ptr<const MembershipView> view)
@@ -178,12 +176,13 @@
     this->members = std::move(view);
 }
 
-std::optional<Member> StoreSharing::source()
+std::optional<Member> StoreSharing::source(std::string_view prefix)
 {
     if (this->members == nullptr) {
         return std::nullopt;
     }
-    return storeSource(*this->members, this->failures, this->random());
+    const auto [turn, isNew] = this->turns.try_emplace(std::string(prefix), this->firstTurn);
+    return storeSource(*this->members, this->failures, ++turn->second);
 }
 
 void StoreSharing::count(bool failed)
@@ -253,7 +252,7 @@
                               const StoreRevision &after,
                               std::function<void(const Member &, ChangesResult)> completion)
 {
-    const Member *peer = this->source().has_value() ? nullptr : this->drawInformed();
+    const Member *peer = this->drawInformed();
     if (peer == nullptr) {
         return;
     }
@@ -274,7 +273,7 @@
         completion(std::move(result));
     };
     // A listing that was begun at the store has pages, and goes on there.
-    const std::optional<Member> peer = after.empty() ? this->source() : std::nullopt;
+    const std::optional<Member> peer = after.empty() ? this->source(prefix) : std::nullopt;
     if (peer.has_value()) {
         this->listAt(*peer, prefix, std::move(counted));
     } else {
@@ -292,7 +291,7 @@
         this->count(failure != nullptr && *failure == StoreFailure::Unavailable);
         completion(std::move(result));
     };
-    const std::optional<Member> peer = this->source();
+    const std::optional<Member> peer = this->source(prefix);
     if (!peer.has_value()) {
         this->store.watch(prefix, after, wait, std::move(counted));
         return;
--- a/src/hickoryshore/entry/store_sharing_test.cpp
+++ b/src/hickoryshore/entry/store_sharing_test.cpp
@@ -41,20 +41,43 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_CASE(in_a_small_fleet_each_vm_calls_the_store)
+BOOST_AUTO_TEST_CASE(two_vms_of_each_data_centre_call_the_store_however_many_there_are)
 {
-    BOOST_TEST((sourcesOf(makeFleet(9, "north-9"), 0) == Names{"store"}));
+    for (const int vmsEach : {2, 3, 9, 69}) {
+        int readers = 0;
+        const MembershipView fleet = makeFleet(vmsEach, "north-1");
+        for (const Member &member : fleet.members) {
+            readers += sourcesOf(makeFleet(vmsEach, member.vm.value), 0).contains("store") ? 1 : 0;
+        }
+        BOOST_TEST(readers == 4);
+    }
+    BOOST_TEST((sourcesOf(makeFleet(69, "north-30"), 0) == Names{"north-1", "north-2"}));
+    BOOST_TEST((sourcesOf(makeFleet(9, "north-9"), 0) == Names{"north-1", "north-2"}));
 }
 
-BOOST_AUTO_TEST_CASE(in_a_large_fleet_two_vms_of_each_data_centre_call_the_store)
+BOOST_AUTO_TEST_CASE(a_reader_that_leaves_or_seems_gone_is_replaced_by_the_next_vm)
 {
-    int readers = 0;
-    const MembershipView fleet = makeFleet(69, "north-1");
-    for (const Member &member : fleet.members) {
-        readers += sourcesOf(makeFleet(69, member.vm.value), 0).contains("store") ? 1 : 0;
+    MembershipView view = makeFleet(9, "north-9");
+    for (Member &member : view.members) {
+        if (member.vm.value == "north-1") {
+            member.state = MemberState::Leaving;
+        } else if (member.vm.value == "north-2") {
+            member.state = MemberState::Suspect;
+        }
     }
-    BOOST_TEST(readers == 4);
-    BOOST_TEST((sourcesOf(makeFleet(69, "north-30"), 0) == Names{"north-1", "north-2"}));
+    BOOST_TEST((sourcesOf(view, 0) == Names{"north-3", "north-4"}));
+    view.self = {"north-3"};
+    BOOST_TEST((sourcesOf(view, 0) == Names{"store"}));
+}
+
+BOOST_AUTO_TEST_CASE(a_vm_that_does_not_know_its_fleet_yet_calls_the_store)
+{
+    // While all VMs start at once, none waits for another one that knows as little.
+    MembershipView view = makeFleet(9, "north-9");
+    std::erase_if(view.members, [](const Member &member) {
+        return member.vm.value != "north-9";
+    });
+    BOOST_TEST((sourcesOf(view, 0) == Names{"store"}));
 }
 
 BOOST_AUTO_TEST_CASE(a_source_that_fails_is_followed_by_others_and_by_the_store_itself)
@@ -67,6 +90,7 @@
 BOOST_AUTO_TEST_CASE(a_vm_that_the_store_refuses_follows_its_peers_by_turns)
 {
     const MembershipView view = makeFleet(9, "north-1");
+    BOOST_TEST((sourcesOf(view, 0) == Names{"store"}));
     BOOST_TEST(!sourcesOf(view, 1).contains("store"));
     BOOST_TEST(!sourcesOf(view, 1).contains("north-1"));
     BOOST_TEST((sourcesOf(view, 2) == Names{"store"}));
@@ -91,23 +115,25 @@
     BOOST_REQUIRE(list.has_value());
     BOOST_TEST(list->prefix == "a/");
     BOOST_TEST(!list->changesAfter.has_value());
-    const auto watch = parsePeerTarget(peerTarget({.prefix = "a/", .changesAfter = 17, .wait = 1500ms}));
+    const auto watch = parsePeerTarget(peerTarget({.prefix = "a/", .changesAfter = 17, .wait = 900ms}));
     BOOST_REQUIRE(watch.has_value());
     BOOST_TEST(watch->changesAfter.value() == 17);
-    BOOST_TEST((watch->wait == 1500ms));
+    BOOST_TEST((watch->wait == 900ms));
+    // A peer that has stopped is to be noticed soon, whatever the wait.
+    BOOST_TEST((parsePeerTarget(peerTarget({.prefix = "a/", .changesAfter = 17, .wait = 30s}))->wait <= 1s));
     BOOST_TEST(!parsePeerTarget("/metrics").has_value());
 }
 
 BOOST_AUTO_TEST_CASE(vms_with_and_without_eras_read_each_others_requests)
 {
-    const std::string target = peerTarget({.prefix = "a/", .changesAfter = 17, .era = 3, .wait = 1500ms});
+    const std::string target = peerTarget({.prefix = "a/", .changesAfter = 17, .era = 3, .wait = 900ms});
     const auto watch = parsePeerTarget(target);
     BOOST_TEST(watch->era.value() == 3U);
     BOOST_TEST(watch->changesAfter.value() == 17U);
-    BOOST_TEST((watch->wait == 1500ms));
+    BOOST_TEST((watch->wait == 900ms));
     // One that knows of no era leaves it out, and reads no further than the wait.
-    BOOST_TEST(!parsePeerTarget("/v1/store/watch?prefix=a/&after=17&waitMs=1500")->era.has_value());
-    BOOST_TEST(target.starts_with("/v1/store/watch?prefix=a/&after=17&waitMs=1500&"));
+    BOOST_TEST(!parsePeerTarget("/v1/store/watch?prefix=a/&after=17&waitMs=900")->era.has_value());
+    BOOST_TEST(target.starts_with("/v1/store/watch?prefix=a/&after=17&waitMs=900&"));
 }
 
 BOOST_AUTO_TEST_CASE(what_departed_is_read_back)
--- a/src/hickoryshore/statesync/prefix_follower.cpp
+++ b/src/hickoryshore/statesync/prefix_follower.cpp
@@ -149,6 +149,20 @@
         return;
     }
     this->failures = 0;
+    this->take(now, std::move(changes), actions);
+    this->next(now, actions);
+}
+
+void PrefixFollower::onPeerChanges(Instant now, StoreChanges changes, std::vector<FollowerAction> &actions)
+{
+    if (!this->mustList && changes.asOf.era == this->knownAsOf.era && changes.asOf > this->knownAsOf) {
+        this->take(now, std::move(changes), actions);
+    }
+}
+
+/// Takes changes of the known era that are new.
+void PrefixFollower::take(Instant now, StoreChanges changes, std::vector<FollowerAction> &actions)
+{
     const auto vanished = std::ranges::count_if(changes.changes, [this](const StoreChange &change) {
         return !change.value.has_value() && this->state.contains(change.key);
     });
@@ -174,7 +188,6 @@
         actions.emplace_back(TakeChange{.change = std::move(change), .storeWasAway = this->wasAway(now)});
     }
     this->knownAsOf = std::max(this->knownAsOf, changes.asOf);
-    this->next(now, actions);
 }
 
 void PrefixFollower::onFailure(Instant now, StoreFailure failure, std::vector<FollowerAction> &actions)
--- a/src/hickoryshore/statesync/prefix_follower_test.cpp
+++ b/src/hickoryshore/statesync/prefix_follower_test.cpp
@@ -190,6 +190,23 @@
     BOOST_TEST(this->follower.asOf().number == 20);
 }
 
+BOOST_AUTO_TEST_CASE(changes_that_a_peer_has_heard_of_first_are_taken_beside_the_watch)
+{
+    this->list(10);
+    this->follower.onPeerChanges(start, {.changes = {{"b", std::nullopt, 12}}, .asOf = {0, 12}}, this->actions);
+    const auto changes = this->take<TakeChange>();
+    BOOST_REQUIRE(changes.size() == 1);
+    BOOST_TEST(changes.front().change.key == "b");
+    // The watch under way brings them once more.
+    this->follower.onChanges(
+        start, {.changes = {{"b", std::nullopt, 12}, {"c", "3", 13}}, .asOf = {0, 13}}, this->actions);
+    BOOST_TEST(this->take<TakeChange>().size() == 1);
+    // What a peer of another era, or one that is behind, tells is left aside.
+    this->follower.onPeerChanges(start, {.changes = {{"a", "9", 20}}, .asOf = {1, 20}}, this->actions);
+    this->follower.onPeerChanges(start, {.changes = {{"a", "9", 12}}, .asOf = {0, 12}}, this->actions);
+    BOOST_TEST(this->actions.empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_store_that_comes_back_from_an_older_copy_is_listed_once_and_followed_from_there)
 {
     this->list(100);
