What peers tell of a store that was away ends; a peer that fails says nothing of the store

Besides, a listing by turns at two peers, of which one remembers less, went on each 300 ms. Ruled out: readers that are stale (asked by turns and each 2 s another VM: DRAIN came again). Change: a failed peer is a reason of its own, the time since the store was away is handed on, a listing goes to the peer that asked for it. Tests of the follower fail without it.

--- a/include/hickoryshore/entry/store_sharing.h
+++ b/include/hickoryshore/entry/store_sharing.h
@@ -55,7 +55,7 @@
     bool askDeparted(std::function<void(std::optional<std::vector<DepartedStart>>)> completion);
 
 private:
-    std::optional<Member> source(std::string_view prefix);
+    std::optional<Member> source(std::string_view prefix, bool next);
     const Member *drawInformed();
     std::string serverOf(const Member &peer) const;
     void list(std::string_view prefix, std::string_view after, std::function<void(PageResult)> completion);
--- a/include/hickoryshore/statesync/prefix_follower.h
+++ b/include/hickoryshore/statesync/prefix_follower.h
@@ -52,7 +52,7 @@
     std::vector<StoreItem> items;
     bool hasMore = false;
     StoreRevision asOf; ///< The store's revision.
-    bool storeWasAway = false; ///< A peer tells this of the store that it follows.
+    std::optional<Duration> storeAwayAgo; ///< A peer tells how long ago the store that it follows was away.
 };
 
 /// A change of a key: without a value where it was removed.
@@ -68,11 +68,15 @@
 {
     std::vector<StoreChange> changes;
     StoreRevision asOf; ///< From here the next watch continues.
-    bool storeWasAway = false; ///< A peer tells this of the store that it follows.
+    std::optional<Duration> storeAwayAgo; ///< A peer tells how long ago the store that it follows was away.
 };
 
-/// Why a call to the store brought nothing. HistoryGone: the changes since the given revision are no longer known.
-enum class StoreFailure { Unavailable, HistoryGone };
+/// Why a call to the store, or to a peer that follows it, brought nothing.
+enum class StoreFailure {
+    Unavailable, ///< The store did not answer.
+    PeerUnavailable, ///< A peer did not answer, which says nothing of the store.
+    HistoryGone, ///< The changes since the given revision are no longer known.
+};
 
 /// List the keys that follow `after` (empty: all).
 struct ListKeys
@@ -153,6 +157,10 @@
     /// Whether keys may have vanished only because the store was away.
     bool wasAway(Instant now) const;
 
+    /// How long ago that was, for peers; nothing where it does not matter any more. What peers tell each other must not
+    /// make it seem to go on.
+    std::optional<Duration> awayAgo(Instant now) const;
+
     /// The known state, for peers.
     std::vector<StoreItem> items() const;
 
@@ -174,6 +182,7 @@
                std::vector<StoreItem> items,
                const StoreRevision &asOf,
                std::vector<FollowerAction> &actions);
+    void noteAway(Instant now, std::optional<Duration> ago);
     void backOff(Instant now);
     Duration drawDelay(Duration least, Duration most);
 
--- a/src/hickoryshore/entry/state_service.cpp
+++ b/src/hickoryshore/entry/state_service.cpp
@@ -299,7 +299,7 @@
                 return;
             }
             whole.asOf = whole.items.empty() ? page->asOf : std::min(whole.asOf, page->asOf);
-            whole.storeWasAway = whole.storeWasAway || page->storeWasAway;
+            whole.storeAwayAgo = page->storeAwayAgo.has_value() ? page->storeAwayAgo : whole.storeAwayAgo;
             const bool hasMore = page->hasMore && !page->items.empty();
             std::ranges::move(page->items, std::back_inserter(whole.items));
             if (hasMore) {
@@ -498,7 +498,7 @@
         if (!request.changesAfter.has_value()) {
             answer({.body = encodePage({.items = this->itemsForPeers(which),
                                         .asOf = prefix.follower.asOf(),
-                                        .storeWasAway = prefix.follower.wasAway(now)})});
+                                        .storeAwayAgo = prefix.follower.awayAgo(now)})});
             return;
         }
         const StoreRevision after{request.era.value_or(prefix.follower.asOf().era), *request.changesAfter};
@@ -538,7 +538,7 @@
     }
     return HttpAnswer{.body = encodeChanges({.changes = std::move(*changes),
                                              .asOf = std::max(after, follower.asOf()),
-                                             .storeWasAway = follower.wasAway(monotonicNow())})};
+                                             .storeAwayAgo = follower.awayAgo(monotonicNow())})};
 }
 
 void StateService::answerWaiting()
--- a/src/hickoryshore/entry/store_sharing.cpp
+++ b/src/hickoryshore/entry/store_sharing.cpp
@@ -42,13 +42,25 @@
     return number;
 }
 
+std::optional<Duration> awayAgoOf(const wire::FollowedPrefix &wire)
+{
+    return wire.store_was_away() ? std::optional<Duration>(std::chrono::milliseconds(wire.away_ago_ms()))
+                                 : std::nullopt;
+}
+
+void setAwayAgo(wire::FollowedPrefix &wire, std::optional<Duration> ago)
+{
+    wire.set_store_was_away(ago.has_value());
+    wire.set_away_ago_ms(static_cast<std::uint32_t>(ceilMilliseconds(ago.value_or(Duration(0)))));
+}
+
 std::optional<StorePage> decodePage(std::string_view body)
 {
     wire::FollowedPrefix wire;
     if (!wire.ParseFromArray(body.data(), static_cast<int>(body.size())) || !wire.has_era()) {
         return std::nullopt;
     }
-    StorePage page{.items = {}, .asOf = {wire.era(), wire.as_of()}, .storeWasAway = wire.store_was_away()};
+    StorePage page{.items = {}, .asOf = {wire.era(), wire.as_of()}, .storeAwayAgo = awayAgoOf(wire)};
     for (const wire::FollowedKey &key : wire.keys()) {
         page.items.push_back({key.key(), key.value(), key.revision()});
     }
@@ -61,7 +73,7 @@
     if (!wire.ParseFromArray(body.data(), static_cast<int>(body.size())) || !wire.has_era()) {
         return std::nullopt;
     }
-    StoreChanges changes{.changes = {}, .asOf = {wire.era(), wire.as_of()}, .storeWasAway = wire.store_was_away()};
+    StoreChanges changes{.changes = {}, .asOf = {wire.era(), wire.as_of()}, .storeAwayAgo = awayAgoOf(wire)};
     for (const wire::FollowedKey &key : wire.keys()) {
         StoreChange change{.key = key.key(), .value = std::nullopt, .revision = key.revision()};
         if (!key.removed()) {
@@ -95,7 +107,7 @@
                       .fields = {{"peer", server}}});
         }
         const bool gone = !end.failure.has_value() && end.response.status == statusGone;
-        completion(gone ? StoreFailure::HistoryGone : StoreFailure::Unavailable);
+        completion(gone ? StoreFailure::HistoryGone : StoreFailure::PeerUnavailable);
     };
     peers.start(server, std::move(exchange));
 }
@@ -176,13 +188,14 @@
     this->members = std::move(view);
 }
 
-std::optional<Member> StoreSharing::source(std::string_view prefix)
+std::optional<Member> StoreSharing::source(std::string_view prefix, bool next)
 {
     if (this->members == nullptr) {
         return std::nullopt;
     }
     const auto [turn, isNew] = this->turns.try_emplace(std::string(prefix), this->firstTurn);
-    return storeSource(*this->members, this->failures, ++turn->second);
+    turn->second += next ? 1 : 0;
+    return storeSource(*this->members, this->failures, turn->second);
 }
 
 void StoreSharing::count(bool failed)
@@ -272,8 +285,9 @@
         this->count(std::holds_alternative<StoreFailure>(result));
         completion(std::move(result));
     };
-    // A listing that was begun at the store has pages, and goes on there.
-    const std::optional<Member> peer = after.empty() ? this->source(prefix) : std::nullopt;
+    // A listing that was begun at the store has pages, and goes on there. One that a peer has asked for, since it does
+    // not remember so far back, is made there: another peer may be behind.
+    const std::optional<Member> peer = after.empty() ? this->source(prefix, false) : std::nullopt;
     if (peer.has_value()) {
         this->listAt(*peer, prefix, std::move(counted));
     } else {
@@ -288,10 +302,10 @@
 {
     auto counted = [this, completion = std::move(completion)](ChangesResult result) {
         const auto *failure = std::get_if<StoreFailure>(&result);
-        this->count(failure != nullptr && *failure == StoreFailure::Unavailable);
+        this->count(failure != nullptr && *failure != StoreFailure::HistoryGone);
         completion(std::move(result));
     };
-    const std::optional<Member> peer = this->source(prefix);
+    const std::optional<Member> peer = this->source(prefix, true);
     if (!peer.has_value()) {
         this->store.watch(prefix, after, wait, std::move(counted));
         return;
@@ -352,7 +366,7 @@
     wire::FollowedPrefix wire;
     wire.set_as_of(page.asOf.number);
     wire.set_era(page.asOf.era);
-    wire.set_store_was_away(page.storeWasAway);
+    setAwayAgo(wire, page.storeAwayAgo);
     for (const StoreItem &item : page.items) {
         wire::FollowedKey &key = *wire.add_keys();
         key.set_key(item.key);
@@ -367,7 +381,7 @@
     wire::FollowedPrefix wire;
     wire.set_as_of(changes.asOf.number);
     wire.set_era(changes.asOf.era);
-    wire.set_store_was_away(changes.storeWasAway);
+    setAwayAgo(wire, changes.storeAwayAgo);
     for (const StoreChange &change : changes.changes) {
         wire::FollowedKey &key = *wire.add_keys();
         key.set_key(change.key);
--- a/src/hickoryshore/statesync/prefix_follower.cpp
+++ b/src/hickoryshore/statesync/prefix_follower.cpp
@@ -70,6 +70,18 @@
     return this->failedAt.has_value() && now - *this->failedAt < awayMemory;
 }
 
+std::optional<Duration> PrefixFollower::awayAgo(Instant now) const
+{
+    return this->wasAway(now) ? std::optional<Duration>(now - *this->failedAt) : std::nullopt;
+}
+
+void PrefixFollower::noteAway(Instant now, std::optional<Duration> ago)
+{
+    if (ago.has_value()) {
+        this->failedAt = std::max(this->failedAt.value_or(now - *ago), now - *ago);
+    }
+}
+
 void PrefixFollower::onPage(Instant now, StorePage page, std::vector<FollowerAction> &actions)
 {
     this->answered(actions);
@@ -78,7 +90,7 @@
         this->next(now, actions);
         return;
     }
-    this->failedAt = page.storeWasAway ? now : this->failedAt;
+    this->noteAway(now, page.storeAwayAgo);
     if (!this->listed.empty() && page.asOf.era != this->listedAsOf.era) {
         // The store came back from a copy between two pages: those before tell of a state that is gone.
         this->listed.clear();
@@ -167,7 +179,8 @@
         return !change.value.has_value() && this->state.contains(change.key);
     });
     const bool lapse = isLapse(static_cast<std::size_t>(vanished), this->state.size());
-    this->failedAt = changes.storeWasAway || lapse ? now : this->failedAt;
+    this->noteAway(now, changes.storeAwayAgo);
+    this->failedAt = lapse ? now : this->failedAt;
     for (StoreChange &change : changes.changes) {
         // A peer may have handed over a newer state, in which a key is gone, while this watch was under way.
         const auto found = this->state.find(change.key);
@@ -206,7 +219,7 @@
         }
         return;
     }
-    this->failedAt = now;
+    this->failedAt = failure == StoreFailure::Unavailable ? now : this->failedAt;
     if (this->reached) {
         this->reached = false;
         actions.emplace_back(StoreReachable{false});
@@ -233,6 +246,7 @@
     if (state.asOf <= this->knownAsOf) {
         return;
     }
+    this->noteAway(now, state.storeAwayAgo);
     this->adopt(now, std::move(state.items), state.asOf, actions);
     // A listing that was to replace an unknown or outdated state is needless now.
     this->mustList = false;
--- a/src/hickoryshore/statesync/prefix_follower_test.cpp
+++ b/src/hickoryshore/statesync/prefix_follower_test.cpp
@@ -105,6 +105,19 @@
     BOOST_TEST(this->take<TakeChange>().at(0).storeWasAway);
 }
 
+BOOST_AUTO_TEST_CASE(a_peer_that_fails_says_nothing_of_the_store)
+{
+    // A VM whose peer was cut off: a replica that leaves meanwhile is gone, not lapsed.
+    this->list(10);
+    this->follower.onFailure(start, StoreFailure::PeerUnavailable, this->actions);
+    BOOST_TEST(this->follower.isCutOff());
+    const Instant retry = this->follower.nextTimer().value();
+    this->follower.onTimer(retry, this->actions);
+    this->actions.clear();
+    this->follower.onChanges(retry, {.changes = {{"a", std::nullopt, 12}}, .asOf = {0, 12}}, this->actions);
+    BOOST_TEST(!this->take<TakeChange>().at(0).storeWasAway);
+}
+
 BOOST_AUTO_TEST_CASE(many_keys_that_vanish_at_once_have_lapsed_with_the_store)
 {
     // The leases of all writers run out while the store stands still, and a watch that waits learns nothing of that.
@@ -306,4 +319,26 @@
     BOOST_TEST(calls <= 30);
 }
 
+BOOST_AUTO_TEST_CASE(what_peers_tell_each_other_of_a_store_that_was_away_ends)
+{
+    // Two VMs ask each other for changes long after the store was away for one of them.
+    PrefixFollower other{2};
+    this->list(10);
+    other.start(start, this->actions);
+    other.onPage(start, {.items = {{"a", "1", 3}}, .asOf = {0, 10}}, this->actions);
+    this->follower.onFailure(start, StoreFailure::Unavailable, this->actions);
+    std::uint64_t number = 10;
+    for (Duration passed = 500ms; passed <= 8s; passed += 500ms) {
+        const Instant now = start + passed;
+        const StoreChange change{.key = "b", .value = "2", .revision = ++number};
+        other.onPeerChanges(now,
+                            {.changes = {change}, .asOf = {0, number}, .storeAwayAgo = this->follower.awayAgo(now)},
+                            this->actions);
+        this->follower.onPeerChanges(
+            now, {.changes = {change}, .asOf = {0, number}, .storeAwayAgo = other.awayAgo(now)}, this->actions);
+        BOOST_TEST(other.wasAway(now) == (passed < PrefixFollower::awayMemory));
+        BOOST_TEST(this->follower.wasAway(now) == (passed < PrefixFollower::awayMemory));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
