--- a/include/hickoryshore/entry/request_service.h
+++ b/include/hickoryshore/entry/request_service.h
@@ -176,6 +176,7 @@
                                             std::string_view replica,
                                             Instant deadline) const;
     void send(RunId id, ActiveRequest &active, const SendAttempt &action);
+    void noteAttempt(ActiveRequest &active, const SendAttempt &action, const Replica &replica);
     void sendGroup(RunId id, ActiveRequest &active, const SendGroup &action);
     void onGroupEnd(RunId id, std::size_t group, const HttpExchangeEnd &end, const GroupCall &call);
     static std::vector<GroupedEnd> takeReply(ActiveGroup &group, const wire::AggregateReply &reply);
--- a/src/hickoryshore/dispatch/endpoint_table.cpp
+++ b/src/hickoryshore/dispatch/endpoint_table.cpp
@@ -17,8 +17,9 @@
 /// A latency counts as at most so many times the typical one.
 constexpr double mostSlowness = 20.0;
 /// Without news the slowness goes half of the way back to one in this time, and the share of failures to zero, so that
-/// a replica is tried again.
-constexpr Duration assessmentHalfLife = 3s;
+/// a replica is tried again. A pause of a replica makes one latency many times as long and is over when it is known:
+/// its work must not go elsewhere for seconds.
+constexpr Duration assessmentHalfLife = 1s;
 /// Added to the cost, in microseconds, of a replica that fails all of its attempts, and in proportion for others: a
 /// failure takes an extra attempt out of a budget of one in five. One failure in five costs as much as 40 ms, the way
 /// to another region and back.
--- a/src/hickoryshore/dispatch/endpoint_table_test.cpp
+++ b/src/hickoryshore/dispatch/endpoint_table_test.cpp
@@ -88,6 +88,28 @@
     BOOST_TEST((this->choose(start + 20s) == near));
 }
 
+BOOST_AUTO_TEST_CASE(a_replica_that_paused_once_is_soon_usual_again)
+{
+    // A replica stands still for 0.2 s each few seconds: its first reply after that is long, and it is as fast as ever.
+    this->reply(start, 200ms);
+    BOOST_TEST((this->choose(start + 250ms) == far));
+    BOOST_TEST((this->choose(start + 2500ms) == near));
+}
+
+BOOST_AUTO_TEST_CASE(a_replica_that_stays_slow_is_tried_now_and_then)
+{
+    // Eight times as slow for seconds: whoever comes back to it learns so again.
+    int slow = 0;
+    int all = 0;
+    for (Duration passed = 0ms; passed < 10s; passed += 50ms) {
+        const EndpointId chosen = this->choose(start + passed);
+        this->reply(start + passed, chosen == near ? 64ms : 24ms, chosen);
+        slow += chosen == near ? 1 : 0;
+        ++all;
+    }
+    BOOST_TEST(slow * 5 < all);
+}
+
 BOOST_AUTO_TEST_CASE(a_replica_that_fails_again_and_again_is_the_last_choice)
 {
     std::optional<EndpointChange> change;
--- a/src/hickoryshore/entry/entry_fixture.h
+++ b/src/hickoryshore/entry/entry_fixture.h
@@ -52,7 +52,7 @@
     EntrySettings settings{.dataCentre = {"north"},
                            .region = {"n"},
                            .regions = {{{"north"}, {"n"}}},
-                           .memoryBytes = 8 * 1024 * 1024,
+                           .memoryBytes = std::size_t{8} * 1024 * 1024,
                            .repeats = {.ratio = 0.2, .slack = 100}};
     EntryDialect dialect = testDialect();
     Metrics metrics;
--- a/src/hickoryshore/entry/request_attempts.cpp
+++ b/src/hickoryshore/entry/request_attempts.cpp
@@ -67,6 +67,29 @@
     return bytes;
 }
 
+/// Counts and logs an attempt that is made.
+void RequestService::noteAttempt(ActiveRequest &request, const SendAttempt &action, const Replica &replica)
+{
+    ++request.attempts;
+    this->metrics.count(Count::Attempts);
+    if (action.reason == DirectAttempt::Hedge) {
+        ++request.hedges;
+        this->metrics.count(Count::Hedges);
+    } else if (action.reason != DirectAttempt::First) {
+        this->metrics.countRetry(action.cause);
+    }
+    if (action.reason != DirectAttempt::First) {
+        writeLog(
+            {.level = LogLevel::Debug,
+             .slice = slice,
+             .event = action.reason == DirectAttempt::Hedge ? "hedged" : "retried",
+             .requestId = request.forwarding->requestId,
+             .resultCode = action.cause,
+             .fields
+             = {{"service", replica.service.value}, {"replica", replica.name}, {"ageMs", milliseconds(action.age)}}});
+    }
+}
+
 void RequestService::send(RunId id, ActiveRequest &request, const SendAttempt &action)
 {
     const Replica &replica = this->replicas.at(action.endpoint);
@@ -95,24 +118,7 @@
     exchange.onEnd = [this, attempt = action.attempt](HttpExchangeEnd end) {
         this->onExchangeEnd(attempt, std::move(end));
     };
-    ++request.attempts;
-    this->metrics.count(Count::Attempts);
-    if (action.reason == DirectAttempt::Hedge) {
-        ++request.hedges;
-        this->metrics.count(Count::Hedges);
-    } else if (action.reason != DirectAttempt::First) {
-        this->metrics.countRetry(action.cause);
-    }
-    if (action.reason != DirectAttempt::First) {
-        writeLog(
-            {.level = LogLevel::Debug,
-             .slice = slice,
-             .event = action.reason == DirectAttempt::Hedge ? "hedged" : "retried",
-             .requestId = forwarding.requestId,
-             .resultCode = action.cause,
-             .fields
-             = {{"service", replica.service.value}, {"replica", replica.name}, {"ageMs", milliseconds(action.age)}}});
-    }
+    this->noteAttempt(request, action, replica);
     this->attempts[action.attempt] = {.run = id,
                                       .endpoint = action.endpoint,
                                       .latency = request.latency,
--- a/src/hickoryshore/entry/request_groups.cpp
+++ b/src/hickoryshore/entry/request_groups.cpp
@@ -21,8 +21,6 @@
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
 constexpr int statusUnavailable = 503;
-/// A call whose answer is so much overdue is given up; until then the answer is still of use.
-constexpr Duration longestDelay = 400ms;
 /// VMs with less than this part of the most processor of the fleet are not asked: they would hold up many parts.
 constexpr int enoughCapacityDivisor = 2;
 constexpr std::string_view slice = "entry";
@@ -201,7 +199,7 @@
         } else {
             group.signatures[end.attempt] = part.signature();
         }
-        ends.push_back(std::move(end));
+        ends.push_back(end);
     }
     group.records = reply.records();
     return ends;
--- a/src/hickoryshore/entry/request_groups_test.cpp
+++ b/src/hickoryshore/entry/request_groups_test.cpp
@@ -26,7 +26,7 @@
                                 .dataCentre = {"south"},
                                 .region = {"s"},
                                 .regions = {{{"north"}, {"n"}}, {{"south"}, {"s"}}},
-                                .memoryBytes = 8 * 1024 * 1024,
+                                .memoryBytes = std::size_t{8} * 1024 * 1024,
                                 .repeats = {.ratio = 0.2, .slack = 100}};
     RequestService south{loop,
                          southSettings,
