--- a/src/hickoryshore/entry/state_service.cpp
+++ b/src/hickoryshore/entry/state_service.cpp
@@ -15,8 +15,8 @@
 
 /// A watch that waits is one call to the store, however long it waits; the store allows 30 s.
 constexpr Duration watchWait = 20s;
-/// The membership is waited for this long at the start: it tells whether the store is to be called at all. A large fleet
-/// needs that time: with less, each of its VMs lists the store.
+/// The membership is waited for this long at the start: it tells whether the store is to be called at all. A large
+/// fleet needs that time: with less, each of its VMs lists the store.
 constexpr Duration patienceWithMembership = 250ms;
 /// How often waiting peers, lapsed replicas and news of a newer configuration are looked at.
 constexpr Duration periodicCheck = 250ms;
