--- a/src/hickoryshore/statesync/prefix_follower_test.cpp
+++ b/src/hickoryshore/statesync/prefix_follower_test.cpp
@@ -292,28 +292,27 @@
     this->list(100);
     int calls = 0;
     std::uint64_t listed = 61;
-    std::optional<bool> lists = false;
+    enum class Waiting { Nothing, Listing, Watch };
+    Waiting waiting = Waiting::Watch;
     for (Duration passed = 0ms; passed <= 2s; passed += 1ms) {
         const Instant now = start + passed;
-        if (lists.has_value()) {
-            const bool wasList = *lists;
-            lists.reset();
+        if (waiting == Waiting::Listing) {
             ++calls;
-            if (wasList) {
-                this->follower.onPage(now, {.items = {{"a", "1", 3}}, .asOf = {0, listed}}, this->actions);
-                listed = listed == 61 ? 100 : 61;
-            } else {
-                this->follower.onFailure(now, StoreFailure::HistoryGone, this->actions);
-            }
+            this->follower.onPage(now, {.items = {{"a", "1", 3}}, .asOf = {0, listed}}, this->actions);
+            listed = listed == 61 ? 100 : 61;
+        } else if (waiting == Waiting::Watch) {
+            ++calls;
+            this->follower.onFailure(now, StoreFailure::HistoryGone, this->actions);
         }
+        waiting = Waiting::Nothing;
         this->follower.onTimer(now, this->actions);
         const auto actions = this->actions;
         if (!this->take<ListKeys>().empty()) {
-            lists = true;
+            waiting = Waiting::Listing;
         }
         this->actions = actions;
         if (!this->take<WatchKeys>().empty()) {
-            lists = false;
+            waiting = Waiting::Watch;
         }
     }
     BOOST_TEST(calls <= 30);
