VMs of a data centre tell each other of replicas that are quiet, slow or failing; one slow attempt is a pause

Cause: a VM sends one or two requests a second to a replica and shard, so that each VM learns anew of each pause and each slow replica, by an attempt that is lost to it; a pause of 0.2 s was met by some nine attempts of nine VMs. Hypothesis: told at once, most of these go elsewhere.

Change: an attempt that is late at a replica from which nothing has come back since is told to the other VMs of the data centre, and so is the end of slow or failed attempts there (protobuf as the payload of a membership datagram; a version that does not know it drops it). Attempts that were in flight together count once. A first slow attempt after others counts as a pause, which is over, here too: it sent a VM's work elsewhere for a second.

A call that has waited for a connection until less than a tenth of its time is left is not sent: upstream_test failed once in the ThreadSanitizer build beside load (a connection freed by a timeout was given to a call whose own followed microseconds later). Its own test failed before.

--- a/include/hickoryshore/dispatch/endpoint_table.h
+++ b/include/hickoryshore/dispatch/endpoint_table.h
@@ -59,6 +59,16 @@
     bool withdrawn = false; ///< Not sent, by this VM's own decision: it says nothing of the replica.
 };
 
+/// What one VM tells others of a replica that answers late or fails: that nothing comes back from it, or how an attempt
+/// there has ended.
+struct ReplicaObservation
+{
+    EndpointId endpoint;
+    Duration quiet{0}; ///< Not zero: attempts are in flight, and for so long none has ended.
+    Duration lasted{0}; ///< Of the attempt that has ended.
+    std::optional<double> slowness; ///< Its latency as a multiple of the usual one; nothing where it failed.
+};
+
 /// What has become of a replica in this VM's view.
 enum class EndpointState { InUse, Ejected, Misdirected, Refusing, Leaving };
 
@@ -119,6 +129,15 @@
     /// An attempt was given up without an answer; `late` says that it had been waited for long enough.
     void countDropped(Instant now, EndpointId endpoint, bool late);
 
+    /// An attempt there is late. Notes that nothing comes back from the replica, if so, for other VMs.
+    void countOverdue(Instant now, EndpointId endpoint, const RouteLatency &latency);
+
+    /// What other VMs are to hear since the last call.
+    std::vector<ReplicaObservation> takeObservations();
+
+    /// Takes what another VM has observed.
+    void hear(Instant now, const ReplicaObservation &observation);
+
     Distance distanceOf(EndpointId endpoint) const;
 
 private:
@@ -136,6 +155,12 @@
         Instant assessedAt; ///< The assessment fades from there.
         int inFlight = 0;
         Instant quietSince; ///< Since then attempts are in flight, and none has ended.
+        Instant quietTold; ///< The start of the quiet time that other VMs were told of.
+        Instant answeredAt; ///< Last.
+        Instant heardQuietSince; ///< As another VM said at heardQuietAt.
+        Instant heardQuietAt;
+        bool slowBefore = false; ///< The last attempt, here or elsewhere, was slow.
+        Instant countedUntil; ///< An attempt of another VM that began earlier says nothing new.
         Instant warmUntil; ///< End of the time in which it is slow after its start.
         int waiting = 0; ///< Its queue, as it told at waitingAt.
         Instant waitingAt;
@@ -158,10 +183,14 @@
     void refill(Instant now, Service &service) const;
     static bool accepts(const Endpoint &endpoint, Instant now);
     Instant endOfRefusal(Instant now, Duration asked);
+    void countReply(Instant now, Endpoint &endpoint, const RouteLatency &latency, Duration lasted);
     std::optional<EndpointChange> takeNotice(Instant now, Endpoint &endpoint, const AttemptEnd &end);
     double costOf(const Endpoint &endpoint, Instant now, const RouteLatency &latency);
+    static Duration quietTime(const Endpoint &endpoint, Instant now, const RouteLatency &latency);
+    void observeEnd(const Endpoint &endpoint, Duration lasted, std::optional<double> slowness);
     static Assessment assessmentNow(const Endpoint &endpoint, Instant now);
     static void assess(Endpoint &endpoint, Instant now, std::optional<double> slowness, bool failed);
+    static void assessLatency(Endpoint &endpoint, Instant now, double slowness);
     double repeatReserve() const;
     double repeatEarning() const;
     void forgetRemoved(EndpointId endpoint);
@@ -170,6 +199,7 @@
     std::unordered_map<ServiceId, Service> services;
     RepeatBudget budget;
     double budgetShare = 1.0;
+    std::vector<ReplicaObservation> observations; ///< For other VMs.
     std::minstd_rand random;
 };
 
--- a/include/hickoryshore/entry/entry_vm.h
+++ b/include/hickoryshore/entry/entry_vm.h
@@ -39,6 +39,7 @@
     void answerMetrics(HttpCallId call, const HttpServerRequest &request);
     EntryPoints entryPointsFor(const CallerPlace &place);
     MembershipHooks membershipHooks();
+    void reportReplicas(std::string_view report);
     void updateShare();
     void onView(const std::shared_ptr<const MembershipView> &view);
     void onRouteTable(const std::shared_ptr<const RouteTable> &table);
--- a/include/hickoryshore/entry/request_service.h
+++ b/include/hickoryshore/entry/request_service.h
@@ -45,6 +45,9 @@
     /// A replica has said that it leaves; may be empty.
     std::function<void(EndpointId)> onReplicaLeaving;
 
+    /// Sends a report on replicas to other VMs; empty where there are none.
+    std::function<void(std::string_view)> reportReplicas;
+
     /// Gives an answer to the listener of other VMs; empty where none of them asks.
     std::function<void(HttpCallId, const HttpAnswer &)> answerPeer;
 };
@@ -80,6 +83,9 @@
     void onAggregateRequest(HttpCallId call, const HttpServerRequest &request);
     void onPeerLeft(HttpCallId call);
 
+    /// Takes what another VM's reportReplicas hook has sent.
+    void onReplicaReport(std::string_view report);
+
     std::size_t inFlight() const;
     HttpConnectionCounts connections() const;
 
@@ -191,6 +197,8 @@
     AttemptEnd classify(const ActiveAttempt &attempt, const HttpExchangeEnd &end, Instant now) const;
     void giveUpStray(AttemptId attempt);
     void observeService(EndpointId endpoint, Duration latency);
+    void collectObservations();
+    void reportObservations();
 
     HttpAnswer answerOf(const ActiveRequest &active, const FinishRun &outcome) const;
     HttpAnswer answerForPeer(const ActiveRequest &active, const FinishRun &outcome) const;
@@ -212,6 +220,8 @@
     std::shared_ptr<const RouteTable> routeTable;
     std::unordered_map<RouteId, std::shared_ptr<RouteLatency>> latencies;
     std::unordered_map<EndpointId, Replica> replicas;
+    std::unordered_map<std::string, EndpointId> endpointsByName;
+    std::vector<ReplicaObservation> unreported;
     ReplicasByRegion regionReplicas;
     std::shared_ptr<HttpConnections> upstream;
     std::unordered_map<RunId, ActiveRequest> active;
--- a/include/hickoryshore/membership/member_table.h
+++ b/include/hickoryshore/membership/member_table.h
@@ -124,6 +124,9 @@
     void leave(Instant now, std::vector<MembershipAction> &actions);
 
     /// The revision that this VM has in force; sent with each message.
+    /// A message that carries a report of another part of the program to a peer.
+    MembershipMessage makeReport(std::string_view report) const;
+
     void setConfigRevision(Revision revision);
 
     /// All members, this VM included.
--- a/include/hickoryshore/membership/message.h
+++ b/include/hickoryshore/membership/message.h
@@ -54,7 +54,8 @@
     Nack, ///< Answers ProbeRequest: the target has not answered yet.
     Join, ///< Asks for the members after `pageAfter`.
     JoinReply, ///< One page of members; an empty `pageAfter` marks the last page.
-    News ///< Carries news alone.
+    News, ///< Carries news alone.
+    Report ///< Carries a report alone.
 };
 
 /// The content of one datagram.
@@ -68,6 +69,7 @@
     Revision configRevision; ///< The sender's own.
     bool describeYourself = false; ///< The sender does not know the receiver's description.
     std::vector<MemberNews> news;
+    std::string report; ///< Of another part of the program; the membership does not read it.
 
     bool operator==(const MembershipMessage &) const = default;
 };
--- a/include/hickoryshore/membershipservice/membership_service.h
+++ b/include/hickoryshore/membershipservice/membership_service.h
@@ -35,6 +35,9 @@
     /// A member is new or its state or process has changed; for logs.
     std::function<void(const MemberChangedAction &)> onMemberChanged;
 
+    /// Another VM's report for another part of the program.
+    std::function<void(std::string_view)> onReport;
+
     /// A newer process of this VM runs elsewhere: this one has to stop.
     std::function<void()> onSuperseded;
 };
@@ -66,6 +69,10 @@
     /// Tells the others which revision this VM has in force.
     void setConfigRevision(Revision revision);
 
+    /// Sends a report of another part of the program to these members, once: it may be lost. One that does not fit into
+    /// a datagram is dropped.
+    void sendReport(std::string_view report, std::span<const Member> members);
+
     /// Takes the platform's list of VMs.
     void seedFromList(std::span<const ListedMember> list);
 
@@ -83,7 +90,7 @@
     void receive();
     void perform();
     void perform(const MembershipAction &action);
-    void sendDatagram(const SendAction &action);
+    void sendDatagram(const std::string &address, const std::string &datagram);
     void publishView();
     void schedule();
 
--- a/include/hickoryshore/metrics/metrics.h
+++ b/include/hickoryshore/metrics/metrics.h
@@ -37,6 +37,8 @@
     Groups, ///< Calls to other VMs for several parts at once.
     GroupFailures, ///< Such calls without an answer in time.
     Aggregations, ///< Such calls that this VM served.
+    ReplicaReportsSent, ///< To other VMs, of replicas that answer late or fail.
+    ReplicaReportsHeard,
     FramesSent,
     FramesReceived,
     BytesSent,
--- a/src/hickoryshore/dispatch/endpoint_table.cpp
+++ b/src/hickoryshore/dispatch/endpoint_table.cpp
@@ -30,6 +30,11 @@
 constexpr double loadCost = 0.7;
 /// For how long a replica's report of its queue counts.
 constexpr Duration reportLifetime = 150ms;
+/// Other VMs hear of attempts that took so many times as long as usual, and of all while the replica counts as so slow.
+constexpr double slowAttempt = 2.5;
+constexpr double slowReplica = 1.5;
+/// For how long it counts that another VM waits for the replica: the news of the end may be lost.
+constexpr Duration heardLifetime = 500ms;
 /// Added to the cost, in microseconds, of a replica in another data centre of the region: the way there.
 constexpr double otherDataCentreCost = 1000.0;
 /// The same for one that is taken out after failures, and one that has just refused work.
@@ -144,10 +149,7 @@
     double cost = typical * assessment.slowness * (endpoint.warmUntil > now ? coldSlowness : 1.0);
     const int queued = now - endpoint.waitingAt < reportLifetime ? endpoint.waiting : 0;
     cost *= 1.0 + loadCost * (endpoint.inFlight + queued) / std::max(1, endpoint.replica.slots);
-    if (endpoint.inFlight > 0) {
-        const Duration quiet = now - endpoint.quietSince;
-        cost += quiet > latency.hedgeDelay(distance) ? static_cast<double>(quiet.count()) : 0.0;
-    }
+    cost += static_cast<double>(quietTime(endpoint, now, latency).count());
     cost += failureCost * assessment.failureShare;
     cost += endpoint.replica.place == ownPlace ? 0.0 : otherDataCentreCost;
     cost += endpoint.health.isEjected(now) ? ejectedCost : 0.0;
@@ -158,6 +160,83 @@
     return cost * noise(this->random);
 }
 
+/// For how long the replica has been quiet, here or at another VM; zero where that is no longer than usual.
+Duration EndpointTable::quietTime(const Endpoint &endpoint, Instant now, const RouteLatency &latency)
+{
+    Duration quiet(0);
+    if (endpoint.inFlight > 0 && now - endpoint.quietSince > latency.hedgeDelay(endpoint.replica.distance)) {
+        quiet = now - endpoint.quietSince;
+    }
+    if (endpoint.heardQuietAt + heardLifetime > now && endpoint.answeredAt < endpoint.heardQuietAt) {
+        quiet = std::max(quiet, now - endpoint.heardQuietSince);
+    }
+    return quiet;
+}
+
+void EndpointTable::countOverdue(Instant now, EndpointId id, const RouteLatency &latency)
+{
+    const auto found = this->endpoints.find(id);
+    if (found == this->endpoints.end()) {
+        return;
+    }
+    Endpoint &endpoint = found->second;
+    const Duration quiet = now - endpoint.quietSince;
+    if (endpoint.inFlight > 0 && endpoint.quietTold != endpoint.quietSince
+        && quiet >= latency.earliestHedge(endpoint.replica.distance)) {
+        endpoint.quietTold = endpoint.quietSince;
+        this->observations.push_back({.endpoint = id, .quiet = quiet});
+    }
+}
+
+/// Notes an attempt's end for other VMs, if it tells them something: it was slow, or the replica was said to be.
+void EndpointTable::observeEnd(const Endpoint &endpoint, Duration lasted, std::optional<double> slowness)
+{
+    const bool wasTold = endpoint.quietTold == endpoint.quietSince;
+    if (wasTold || slowness.value_or(slowAttempt) >= slowAttempt || endpoint.assessed.slowness >= slowReplica) {
+        this->observations.push_back({.endpoint = endpoint.replica.endpoint, .lasted = lasted, .slowness = slowness});
+    }
+}
+
+std::vector<ReplicaObservation> EndpointTable::takeObservations()
+{
+    return std::exchange(this->observations, {});
+}
+
+void EndpointTable::hear(Instant now, const ReplicaObservation &observation)
+{
+    const auto found = this->endpoints.find(observation.endpoint);
+    if (found == this->endpoints.end()) {
+        return;
+    }
+    Endpoint &endpoint = found->second;
+    if (observation.quiet > Duration(0)) {
+        endpoint.heardQuietSince = now - observation.quiet;
+        endpoint.heardQuietAt = now;
+        return;
+    }
+    endpoint.heardQuietAt = {};
+    // Attempts that were in flight together have met the same pause: one of them counts.
+    if (now - observation.lasted < endpoint.countedUntil) {
+        return;
+    }
+    endpoint.countedUntil = now;
+    if (observation.slowness.has_value()) {
+        assessLatency(endpoint, now, *observation.slowness);
+    } else {
+        assess(endpoint, now, std::nullopt, true);
+    }
+}
+
+/// A pause makes one attempt slow, and is over when that ends: the first slow one after others does not count.
+void EndpointTable::assessLatency(Endpoint &endpoint, Instant now, double slowness)
+{
+    const bool slow = slowness >= slowAttempt;
+    if (!slow || endpoint.slowBefore) {
+        assess(endpoint, now, slowness, false);
+    }
+    endpoint.slowBefore = slow;
+}
+
 bool EndpointTable::accepts(const Endpoint &endpoint, Instant now)
 {
     return !endpoint.leaving && endpoint.misdirectedUntil <= now && endpoint.refusesUntil <= now;
@@ -300,6 +379,18 @@
     return change;
 }
 
+void EndpointTable::countReply(Instant now, Endpoint &endpoint, const RouteLatency &latency, Duration lasted)
+{
+    const auto typical = static_cast<double>(std::max(latency.typical(endpoint.replica.distance), Duration(1)).count());
+    const double slowness = std::min(static_cast<double>(lasted.count()) / typical, mostSlowness);
+    assessLatency(endpoint, now, slowness);
+    this->observeEnd(endpoint, lasted, slowness);
+    endpoint.answeredAt = now;
+    endpoint.countedUntil = now;
+    endpoint.health.countSuccess(now);
+    endpoint.recovering = false;
+}
+
 std::optional<EndpointChange> EndpointTable::countEnd(Instant now,
                                                       EndpointId id,
                                                       const RouteLatency &latency,
@@ -315,7 +406,6 @@
         this->forgetRemoved(id);
         return std::nullopt;
     }
-    endpoint.quietSince = now;
     std::optional<EndpointChange> change;
     const bool wasEjected = endpoint.health.isEjected(now);
     if (end.waiting.has_value()) {
@@ -323,17 +413,13 @@
         endpoint.waitingAt = now;
     }
     if (end.code == ResultCode::Ok) {
-        const auto typical
-            = static_cast<double>(std::max(latency.typical(endpoint.replica.distance), Duration(1)).count());
-        const double ratio = std::min(static_cast<double>(end.latency.count()) / typical, mostSlowness);
-        assess(endpoint, now, ratio, false);
-        endpoint.health.countSuccess(now);
-        endpoint.recovering = false;
+        this->countReply(now, endpoint, latency, end.latency);
         if (wasEjected) {
             change = {.endpoint = id, .state = EndpointState::InUse};
         }
     } else if (end.code == ResultCode::UpstreamShed) {
         assess(endpoint, now, std::nullopt, true);
+        this->observeEnd(endpoint, end.latency, std::nullopt);
         std::uniform_real_distribution<double> share(0.0, 1.0);
         endpoint.health.countShed(now, share(this->random));
     } else if (end.code == ResultCode::UpstreamDraining) {
@@ -342,10 +428,12 @@
         change = {.endpoint = id, .state = EndpointState::Misdirected};
     } else {
         assess(endpoint, now, std::nullopt, true);
+        this->observeEnd(endpoint, end.latency, std::nullopt);
         if (endpoint.health.countFailure(now)) {
             change = {.endpoint = id, .state = EndpointState::Ejected, .failures = endpoint.health.consecutiveFailures};
         }
     }
+    endpoint.quietSince = now;
     const auto notice = this->takeNotice(now, endpoint, end);
     change = notice.has_value() ? notice : change;
     this->forgetRemoved(id);
--- a/src/hickoryshore/dispatch/request_run.cpp
+++ b/src/hickoryshore/dispatch/request_run.cpp
@@ -174,6 +174,11 @@
 {
     Part &part = this->parts[number];
     part.hedgeAt.reset();
+    for (const Attempt &attempt : std::span(part.attempts).first(part.count)) {
+        if (attempt.live) {
+            this->table->countOverdue(now, attempt.endpoint, *this->latency);
+        }
+    }
     if (this->mayRunAgain(part) && !this->send(now, number, DirectAttempt::Hedge, actions)) {
         part.hedgeAt = now + hedgePause;
     }
--- a/src/hickoryshore/entry/entry_vm.cpp
+++ b/src/hickoryshore/entry/entry_vm.cpp
@@ -30,6 +30,8 @@
 constexpr Duration timeToLearnFleet = 5s;
 /// One peer is probed in each; a VM that is silent is suspected, and not named to callers, 350 ms after its probe.
 constexpr Duration probePeriod = 600ms;
+/// VMs that hear of a replica that answers late or fails.
+constexpr std::ptrdiff_t mostReceivers = 32;
 constexpr std::string_view metricsPath = "/metrics";
 constexpr std::string_view slice = "entryVm";
 
@@ -107,6 +109,10 @@
                     [this](EndpointId endpoint) {
                         this->state.markLeaving(endpoint);
                     },
+                .reportReplicas =
+                    [this](std::string_view report) {
+                        this->reportReplicas(report);
+                    },
                 .answerPeer =
                     [this](HttpCallId call, const HttpAnswer &answer) {
                         this->peers.answer(call, answer);
@@ -204,6 +210,10 @@
                 [this](const MemberChangedAction &change) {
                     this->logMember(change);
                 },
+            .onReport =
+                [this](std::string_view report) {
+                    this->requests.onReplicaReport(report);
+                },
             .onSuperseded =
                 [] {
                     writeLog({.level = LogLevel::Warn, .slice = slice, .event = "superseded"});
@@ -234,6 +244,19 @@
     }
 }
 
+void EntryVm::reportReplicas(std::string_view report)
+{
+    std::vector<Member> others;
+    for (const Member &member : this->members->members) {
+        if (isUsable(member) && member.vm != this->settings.vm && member.dataCentre == this->settings.dataCentre) {
+            others.push_back(member);
+        }
+    }
+    std::vector<Member> receivers;
+    std::ranges::sample(others, std::back_inserter(receivers), mostReceivers, this->random);
+    this->membership->sendReport(report, receivers);
+}
+
 void EntryVm::updateShare()
 {
     const double share = fleetShare(this->largestFleet, this->settings.vm);
--- a/src/hickoryshore/entry/request_attempts.cpp
+++ b/src/hickoryshore/entry/request_attempts.cpp
@@ -185,6 +185,7 @@
     }
     const auto waiting = this->active.find(ended.run);
     if (waiting == this->active.end()) {
+        this->collectObservations();
         this->metrics.count(Count::LateReplies);
         return;
     }
--- a/src/hickoryshore/entry/request_service.cpp
+++ b/src/hickoryshore/entry/request_service.cpp
@@ -134,6 +134,7 @@
 {
     std::vector<DirectReplica> direct;
     this->replicas.clear();
+    this->endpointsByName.clear();
     this->regionReplicas.clear();
     for (const auto &[name, replica] : registry.replicas()) {
         const ReplicaRecord &record = replica.record;
@@ -146,6 +147,7 @@
                           .slots = record.slots,
                           .draining = replica.leaving,
                           .warmUpLeft = record.warmUpLeft});
+        this->endpointsByName[replica.name] = replica.endpoint;
         this->replicas[replica.endpoint] = {.name = replica.name, .address = record.address, .service = record.service};
         if (region != this->settings.regions.end()) {
             ++this->regionReplicas[region->second];
@@ -302,6 +304,7 @@
     if (found != this->active.end()) {
         this->armTimer(id, found->second);
     }
+    this->collectObservations();
 }
 
 void RequestService::armTimer(RunId id, ActiveRequest &request)
--- a/src/hickoryshore/membership/member_table.cpp
+++ b/src/hickoryshore/membership/member_table.cpp
@@ -86,6 +86,8 @@
         break;
     case MessageKind::News:
         break;
+    case MessageKind::Report:
+        return;
     }
     const MembershipMessage reply = this->makeReply(MessageKind::News, message);
     if (!reply.news.empty() || reply.describeYourself || message.describeYourself) {
@@ -101,6 +103,13 @@
             .configRevision = this->ownMember.configRevision};
 }
 
+MembershipMessage MemberTable::makeReport(std::string_view report) const
+{
+    MembershipMessage message = this->makeMessage(MessageKind::Report, 0);
+    message.report = report;
+    return message;
+}
+
 MembershipMessage MemberTable::makeReply(MessageKind kind, const MembershipMessage &request) const
 {
     MembershipMessage reply = this->makeMessage(kind, request.sequence);
--- a/src/hickoryshore/membership/message.cpp
+++ b/src/hickoryshore/membership/message.cpp
@@ -120,6 +120,7 @@
     for (const MemberNews &news : message.news) {
         encodeNews(news, *out.add_news());
     }
+    out.set_report(message.report);
     return out.SerializeAsString();
 }
 
@@ -140,6 +141,7 @@
     for (const auto &news : in.news()) {
         message.news.push_back(decodeNews(news));
     }
+    message.report = in.report();
     return message;
 }
 
@@ -156,7 +158,7 @@
 std::size_t messageSizeBound(const MembershipMessage &message)
 {
     const std::size_t head = messageFixedBytes + message.target.value.size() + message.pageAfter.value.size()
-        + newsSizeBound(message.sender);
+        + message.report.size() + newsSizeBound(message.sender);
     return std::accumulate(message.news.begin(), message.news.end(), head, [](std::size_t sum, const MemberNews &news) {
         return sum + newsSizeBound(news);
     });
--- a/src/hickoryshore/membershipservice/membership_service.cpp
+++ b/src/hickoryshore/membershipservice/membership_service.cpp
@@ -134,7 +134,11 @@
             ++this->counters.malformed;
             continue;
         }
-        this->table.onMessage(monotonicNow(), formatAddress(sender), *message, this->actions);
+        if (message->kind != MessageKind::Report) {
+            this->table.onMessage(monotonicNow(), formatAddress(sender), *message, this->actions);
+        } else if (this->hooks.onReport) {
+            this->hooks.onReport(message->report);
+        }
     }
     this->perform();
 }
@@ -153,7 +157,7 @@
 void MembershipService::perform(const MembershipAction &action)
 {
     if (const auto *send = std::get_if<SendAction>(&action)) {
-        this->sendDatagram(*send);
+        this->sendDatagram(send->address, encodeMessage(send->message));
     } else if (const auto *changed = std::get_if<MemberChangedAction>(&action)) {
         this->viewChanged = true;
         if (this->hooks.onMemberChanged) {
@@ -168,10 +172,21 @@
     }
 }
 
-void MembershipService::sendDatagram(const SendAction &action)
+void MembershipService::sendReport(std::string_view report, std::span<const Member> members)
+{
+    const std::string datagram = encodeMessage(this->table.makeReport(report));
+    if (datagram.size() > maximumDatagramBytes) {
+        ++this->counters.sendErrors;
+        return;
+    }
+    for (const Member &member : members) {
+        this->sendDatagram(member.address + ":" + std::to_string(member.membershipPort), datagram);
+    }
+}
+
+void MembershipService::sendDatagram(const std::string &to, const std::string &datagram)
 {
-    const auto address = parseAddress(action.address);
-    const std::string datagram = encodeMessage(action.message);
+    const auto address = parseAddress(to);
     if (!address
         || sendto(this->descriptor,
                   datagram.data(),
--- a/src/hickoryshore/membershipservice/membership_service_test.cpp
+++ b/src/hickoryshore/membershipservice/membership_service_test.cpp
@@ -99,6 +99,24 @@
     BOOST_TEST(heard > 0);
 }
 
+BOOST_AUTO_TEST_CASE(a_report_reaches_the_members_that_it_is_sent_to)
+{
+    EventLoop loop{1};
+    std::string heard;
+    const MembershipHooks hooks{.onReport = [&](std::string_view report) {
+        heard = report;
+        loop.stop();
+    }};
+    MembershipService first(loop, makeSettings(0), hooks);
+    MembershipService second(loop, makeSettings(1), {});
+    const std::vector<Member> receivers = {makeSettings(0).self};
+    second.sendReport(std::string(2 * maximumDatagramBytes, 'x'), receivers);
+    second.sendReport("late", receivers);
+    loop.run();
+    BOOST_TEST(heard == "late");
+    BOOST_TEST(second.traffic().sendErrors == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(malformed_datagrams_are_counted_and_dropped)
 {
     EventLoop loop{1};
--- a/src/hickoryshore/metrics/metrics.cpp
+++ b/src/hickoryshore/metrics/metrics.cpp
@@ -42,6 +42,8 @@
     {Count::Groups, "groups_total", "Calls to other VMs for several parts at once"},
     {Count::GroupFailures, "group_failures_total", "Calls for several parts without an answer in time"},
     {Count::Aggregations, "aggregations_total", "Calls of other VMs for several parts that were served"},
+    {Count::ReplicaReportsSent, "replica_reports_sent_total", "Reports on replicas that answer late or fail"},
+    {Count::ReplicaReportsHeard, "replica_reports_heard_total", "Such reports of other VMs"},
     {Count::FramesSent, "frames_sent_total", "Frames sent to other VMs"},
     {Count::FramesReceived, "frames_received_total", "Frames received from other VMs"},
     {Count::BytesSent, "frame_bytes_sent_total", "Bytes of frames sent to other VMs"},
--- a/src/hickoryshore/upstream/http_connections.cpp
+++ b/src/hickoryshore/upstream/http_connections.cpp
@@ -22,6 +22,10 @@
 /// A spare connection that has not opened after this time is given up.
 constexpr Duration spareOpening = std::chrono::seconds(1);
 
+/// An exchange that has waited for a connection until this part of its time is left is not sent: hardly a server could
+/// answer it.
+constexpr int leastTimeDivisor = 10;
+
 /// Responses to other requests that are passed over for one exchange: copies of answers come one at a time.
 constexpr int mostForeign = 4;
 
@@ -126,6 +130,10 @@
         const Id next = server.waiting.front();
         const Waiting &first = this->waiting.at(next);
         const Instant deadline = first.deadline;
+        if (deadline - monotonicNow() < first.exchange.timeout / leastTimeDivisor) {
+            this->endExchange(this->takeWaiting(next), {.failure = HttpFailure::Connect});
+            continue;
+        }
         std::optional<Id> id = this->takeIdle(server, first.exchange.proven);
         if (!id.has_value() && server.open >= server.limit) {
             return;
--- a/src/hickoryshore/upstream/upstream_pool_test.cpp
+++ b/src/hickoryshore/upstream/upstream_pool_test.cpp
@@ -121,6 +121,24 @@
     BOOST_TEST(pool.counts().opened == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(a_call_that_gets_a_connection_when_hardly_any_time_is_left_is_not_sent)
+{
+    const HttpServer server({.port = testPort}, answer);
+    UpstreamPool pool({.connectionsPerServer = 1});
+    std::promise<ResultCode> first;
+    std::promise<ResultCode> second;
+    const auto call = [&pool](Duration timeout, std::promise<ResultCode> &code) {
+        pool.call(replica, {.attemptId = "a", .query = "slow"}, timeout, false, [&code](const UpstreamReply &reply) {
+            code.set_value(reply.code);
+        });
+    };
+    call(250ms, first);
+    call(255ms, second);
+    BOOST_TEST((first.get_future().get() == ResultCode::ConnectionSilent));
+    BOOST_TEST((second.get_future().get() == ResultCode::ConnectFailed));
+    BOOST_TEST(pool.counts().opened == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_cancelled_call_that_waits_for_a_connection_is_never_sent)
 {
     std::atomic<int> requests = 0;
