--- a/src/hickoryshore/dispatch/endpoint_table.cpp
+++ b/src/hickoryshore/dispatch/endpoint_table.cpp
@@ -210,7 +210,8 @@
     }
     Endpoint &endpoint = found->second;
     if (observation.quiet > Duration(0)) {
-        endpoint.heardQuietSince = now - observation.quiet;
+        // A VM that stood still takes its own pause for that of every replica.
+        endpoint.heardQuietSince = std::max(now - observation.quiet, endpoint.answeredAt);
         endpoint.heardQuietAt = now;
         return;
     }
--- a/src/hickoryshore/dispatch/endpoint_table_test.cpp
+++ b/src/hickoryshore/dispatch/endpoint_table_test.cpp
@@ -117,6 +117,19 @@
     BOOST_TEST((this->choose(start + 1600ms) == near));
 }
 
+BOOST_AUTO_TEST_CASE(a_vm_that_stood_still_sends_nobody_elsewhere)
+{
+    // Its attempts seem to have got no answer for 5 s, and then to have taken as long.
+    this->reply(start, 8ms);
+    this->table.hear(start + 10ms, {.endpoint = near, .quiet = 5s});
+    BOOST_TEST((this->choose(start + 12ms) == near));
+    this->reply(start + 12ms, 8ms);
+    for (int attempt = 0; attempt < 3; ++attempt) {
+        this->table.hear(start + 21ms, {.endpoint = near, .lasted = 5s, .slowness = 20.0});
+    }
+    BOOST_TEST((this->choose(start + 22ms) == near));
+}
+
 BOOST_AUTO_TEST_CASE(a_replica_that_is_slow_for_other_vms_is_slow_here)
 {
     // Eight times as slow for seconds; the attempts of the others follow each other.
