Replica reports: silence below a millisecond stays silence, and a report fits into its datagram by bytes

Read as a newcomer, two faults: an observation of less than a millisecond of silence was told as a failure (zero means none), and sixteen long names made a report that the membership drops. The encoding is now two functions with tests of both, which failed in the form before by reading (the fields were set in the service, untested).

--- a/src/hickoryshore/entry/replica_reports_test.cpp
+++ b/src/hickoryshore/entry/replica_reports_test.cpp
@@ -1,7 +1,7 @@
 // What one RequestService tells another of a replica that does not answer.
-#include "entry_fixture.h"
+#include "hickoryshore/entry/replica_report.h"
 
-#include "replica_report.pb.h"
+#include "entry_fixture.h"
 
 using namespace hickoryshore;
 using namespace hickoryshore::test;
@@ -13,11 +13,8 @@
 
 std::string quietReport(const std::string &replica)
 {
-    wire::ReplicaReport report;
-    wire::ReplicaObservation &quiet = *report.add_observations();
-    quiet.set_replica(replica);
-    quiet.set_quiet_ms(100);
-    return report.SerializeAsString();
+    const std::vector<NamedObservation> quiet = {{.replica = replica, .observation = {.quiet = 100ms}}};
+    return encodeReplicaReport(quiet);
 }
 
 /// A service with two replicas that count their requests.
@@ -99,11 +96,43 @@
     });
     this->run();
     BOOST_REQUIRE(!reports.empty());
-    wire::ReplicaReport report;
-    BOOST_REQUIRE(report.ParseFromString(reports.front()));
-    BOOST_REQUIRE(report.observations_size() == 1);
-    BOOST_TEST(report.observations(0).replica().starts_with("replica-"));
-    BOOST_TEST(report.observations(0).quiet_ms() >= 10U);
+    const auto report = decodeReplicaReport(reports.front());
+    BOOST_REQUIRE(report.has_value());
+    BOOST_REQUIRE(report->size() == 1);
+    BOOST_TEST(report->front().replica.starts_with("replica-"));
+    BOOST_TEST((report->front().observation.quiet >= Duration(10ms)));
+}
+
+BOOST_AUTO_TEST_CASE(an_observation_keeps_its_meaning_on_the_way)
+{
+    // Silence of less than a millisecond is still silence, and a quick answer no failure.
+    const std::vector<NamedObservation> told = {{.replica = "a", .observation = {.quiet = 300us}},
+                                                {.replica = "b", .observation = {.lasted = 8ms, .slowness = 0.001}},
+                                                {.replica = "c", .observation = {.lasted = 80ms, .slowness = 7.5}},
+                                                {.replica = "d", .observation = {.lasted = 3ms}}};
+    const auto heard = decodeReplicaReport(encodeReplicaReport(told));
+    BOOST_REQUIRE(heard.has_value());
+    BOOST_REQUIRE(heard->size() == told.size());
+    for (std::size_t number = 0; number < told.size(); ++number) {
+        const ReplicaObservation &before = told[number].observation;
+        const ReplicaObservation &after = (*heard)[number].observation;
+        BOOST_TEST((*heard)[number].replica == told[number].replica);
+        BOOST_TEST((after.quiet > Duration(0)) == (before.quiet > Duration(0)));
+        BOOST_TEST((after.lasted == before.lasted));
+        BOOST_TEST(after.slowness.has_value() == before.slowness.has_value());
+    }
+    BOOST_TEST((*heard)[2].observation.slowness.value_or(0.0) == 7.5);
+}
+
+BOOST_AUTO_TEST_CASE(a_report_of_many_long_names_fits_into_a_datagram)
+{
+    const std::vector<NamedObservation> told(
+        100, {.replica = std::string(200, 'r'), .observation = {.lasted = 80ms, .slowness = 7.5}});
+    const std::string bytes = encodeReplicaReport(told);
+    BOOST_TEST(bytes.size() <= mostReportBytes);
+    const auto heard = decodeReplicaReport(bytes);
+    BOOST_REQUIRE(heard.has_value());
+    BOOST_TEST(heard->size() >= 4U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
