Read the whole change once more: one piece of code where it had written a thing twice

No change of behaviour but one: a VM that gives no account of what has departed is logged (peerAnswerUnreadable), as for all other calls to peers.

- RequestRun: the result of a part is taken in one place for direct and grouped attempts; the attempts that were made are one span in place of nine index loops.
- EndpointTable: failed and refused attempts are counted by one function.
- StoreSharing::askDeparted makes its call as the others do.
- StateService: a configuration from a peer was parsed twice where the follower takes it, too; looking for it in a listing stood there twice.
- ReplicaRegistry: an entry that is held back is forgotten in one place; a leaving mark is set once.
- seededGenerator() in base in place of five copies of the same arithmetic, one of them new; membershipAddress() in place of a copy.
- A late answer of an aggregator is judged by the table alone: what the caller added to it could not change the verdict.
- The comment on storeReaders() still spoke of small fleets.

--- a/include/hickoryshore/dispatch/aggregator_table.h
+++ b/include/hickoryshore/dispatch/aggregator_table.h
@@ -33,7 +33,7 @@
 /// What a call to an aggregator came to.
 struct AggregatorEnd
 {
-    bool answered = false; ///< In time; otherwise it is passed over for a while.
+    bool answered = false; ///< Without an answer, or where it came late, the VM is passed over for a while.
     Duration travel{0}; ///< Of the call's time, what the aggregator did not have it. Where it answered.
 };
 
--- a/include/hickoryshore/dispatch/endpoint_table.h
+++ b/include/hickoryshore/dispatch/endpoint_table.h
@@ -184,6 +184,7 @@
     static bool accepts(const Endpoint &endpoint, Instant now);
     Instant endOfRefusal(Instant now, Duration asked);
     void countReply(Instant now, Endpoint &endpoint, const RouteLatency &latency, Duration lasted);
+    void countFailed(Instant now, Endpoint &endpoint, Duration lasted);
     std::optional<EndpointChange> takeNotice(Instant now, Endpoint &endpoint, const AttemptEnd &end);
     double costOf(const Endpoint &endpoint, Instant now, const RouteLatency &latency);
     static Duration quietTime(const Endpoint &endpoint, Instant now, const RouteLatency &latency);
--- a/include/hickoryshore/dispatch/request_run.h
+++ b/include/hickoryshore/dispatch/request_run.h
@@ -149,11 +149,16 @@
         std::optional<AttemptId> failureReply;
         ResultCode last = ResultCode::NoReplica; ///< What ended the last attempt, where one was made.
         bool arrived = false; ///< An attempt may have reached a replica.
+
+        /// The attempts that were made.
+        std::span<Attempt> made();
+        std::span<const Attempt> made() const;
     };
 
     void sendGroup(Instant now, std::size_t group, std::vector<RunAction> &actions);
     std::optional<std::pair<std::size_t, Attempt *>> findAttempt(AttemptId attempt);
     void takeGrouped(Instant now, const GroupedEnd &end, std::vector<RunAction> &actions);
+    void takeResult(Part &part, AttemptId attempt, std::vector<RunAction> &actions);
     void afterFailure(Instant now, std::size_t number, bool sent, std::vector<RunAction> &actions);
     bool send(Instant now, std::size_t number, DirectAttempt reason, std::vector<RunAction> &actions);
     std::optional<EndpointId> untried(Instant now, std::size_t number);
--- a/include/hickoryshore/entry/state_service.h
+++ b/include/hickoryshore/entry/state_service.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -91,6 +92,7 @@
     void armTimer(Followed which);
     void takeListing(Followed which, const TakeListing &listing);
     void takeChange(Followed which, const TakeChange &change);
+    void takeConfiguration(std::span<const StoreItem> items);
     void takeRouteTable(std::string_view text);
     void listAside(Followed which, StorePage before);
     void followEra(Followed which);
--- a/include/hickoryshore/entry/store_sharing.h
+++ b/include/hickoryshore/entry/store_sharing.h
@@ -16,12 +16,13 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace hickoryshore {
 
-/// The VMs of a data centre that call the store themselves, best first; all of its VMs in a small fleet. Those with the
-/// most processor come first, since the others read from them.
+/// The VMs of a data centre that call the store themselves, best first: those with the most processor, since the others
+/// read from them.
 std::vector<VmId> storeReaders(const MembershipView &view, const DataCentreId &dataCentre);
 
 /// The VM from which to follow the store; nothing where it is to be called directly. `failures` counts the calls that
@@ -29,6 +30,9 @@
 /// sources: calls that follow each other go to all of them by turns.
 std::optional<Member> storeSource(const MembershipView &view, int failures, std::uint64_t turn);
 
+/// The replicas that another VM knows to have departed, or that it did not answer.
+using DepartedResult = std::variant<std::vector<DepartedStart>, StoreFailure>;
+
 /// Calls to the store, directly or by way of another VM. Lives on the loop's thread.
 class StoreSharing
 {
@@ -50,9 +54,8 @@
                     const StoreRevision &after,
                     std::function<void(const Member &, ChangesResult)> completion);
 
-    /// Asks a VM drawn at random which replicas have departed; returns false where there is none to ask. The completion
-    /// gets nothing where the VM did not answer.
-    bool askDeparted(std::function<void(std::optional<std::vector<DepartedStart>>)> completion);
+    /// Asks a VM drawn at random which replicas have departed; returns false where there is none to ask.
+    bool askDeparted(std::function<void(DepartedResult)> completion);
 
 private:
     std::optional<Member> source(std::string_view prefix, bool next);
--- a/include/hickoryshore/registry/replica_registry.h
+++ b/include/hickoryshore/registry/replica_registry.h
@@ -134,6 +134,7 @@
     static Start startOf(std::string_view name, const ReplicaRecord &record);
     void noteLeaving(Instant now, RegisteredReplica &replica);
     void drop(Instant now, const std::string &name);
+    void forgetHeldBack(std::string_view name);
     bool isOutdated(std::string_view name, const ReplicaRecord &record) const;
     bool isHeldBack(std::string_view name, const ReplicaRecord &record) const;
 
--- a/src/hickoryshore/dispatch/endpoint_table.cpp
+++ b/src/hickoryshore/dispatch/endpoint_table.cpp
@@ -1,5 +1,7 @@
 #include "hickoryshore/dispatch/endpoint_table.h"
 
+#include "hickoryshore/base/random.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -60,8 +62,7 @@
 
 } // namespace
 
-EndpointTable::EndpointTable(std::uint64_t seed)
-    : random(static_cast<std::minstd_rand::result_type>(seed % (std::minstd_rand::modulus - 1) + 1))
+EndpointTable::EndpointTable(std::uint64_t seed) : random(seededGenerator(seed))
 { }
 
 double EndpointTable::repeatReserve() const
@@ -392,6 +393,12 @@
     endpoint.recovering = false;
 }
 
+void EndpointTable::countFailed(Instant now, Endpoint &endpoint, Duration lasted)
+{
+    assess(endpoint, now, std::nullopt, true);
+    this->observeEnd(endpoint, lasted, std::nullopt);
+}
+
 std::optional<EndpointChange> EndpointTable::countEnd(Instant now,
                                                       EndpointId id,
                                                       const RouteLatency &latency,
@@ -419,8 +426,7 @@
             change = {.endpoint = id, .state = EndpointState::InUse};
         }
     } else if (end.code == ResultCode::UpstreamShed) {
-        assess(endpoint, now, std::nullopt, true);
-        this->observeEnd(endpoint, end.latency, std::nullopt);
+        this->countFailed(now, endpoint, end.latency);
         std::uniform_real_distribution<double> share(0.0, 1.0);
         endpoint.health.countShed(now, share(this->random));
     } else if (end.code == ResultCode::UpstreamDraining) {
@@ -428,8 +434,7 @@
         endpoint.misdirectedUntil = now + refusedElsewhere;
         change = {.endpoint = id, .state = EndpointState::Misdirected};
     } else {
-        assess(endpoint, now, std::nullopt, true);
-        this->observeEnd(endpoint, end.latency, std::nullopt);
+        this->countFailed(now, endpoint, end.latency);
         if (endpoint.health.countFailure(now)) {
             change = {.endpoint = id, .state = EndpointState::Ejected, .failures = endpoint.health.consecutiveFailures};
         }
--- a/src/hickoryshore/dispatch/request_run.cpp
+++ b/src/hickoryshore/dispatch/request_run.cpp
@@ -90,9 +90,7 @@
 {
     const Part &part = this->parts[number];
     std::array<EndpointId, mostAttempts> tried;
-    for (std::size_t each = 0; each < part.count; ++each) {
-        tried[each] = part.attempts[each].endpoint;
-    }
+    std::ranges::transform(part.made(), tried.begin(), &Attempt::endpoint);
     const ServiceId &service = this->settings.services[number];
     return this->table->choose(now, service, *this->latency, std::span(tried).first(part.count));
 }
@@ -107,19 +105,29 @@
     }
     std::array<EndpointId, mostAttempts> busy;
     std::size_t busyCount = 0;
-    for (std::size_t each = 0; each < part.count; ++each) {
-        if (part.attempts[each].live) {
-            busy[busyCount++] = part.attempts[each].endpoint;
+    for (const Attempt &attempt : part.made()) {
+        if (attempt.live) {
+            busy[busyCount++] = attempt.endpoint;
         }
     }
     const ServiceId &service = this->settings.services[number];
     return this->table->choose(now, service, *this->latency, std::span(busy).first(busyCount));
 }
 
+std::span<RequestRun::Attempt> RequestRun::Part::made()
+{
+    return std::span(this->attempts).first(this->count);
+}
+
+std::span<const RequestRun::Attempt> RequestRun::Part::made() const
+{
+    return std::span(this->attempts).first(this->count);
+}
+
 int RequestRun::runsOf(const Part &part)
 {
     int runs = 0;
-    for (const Attempt &attempt : std::span(part.attempts).first(part.count)) {
+    for (const Attempt &attempt : part.made()) {
         runs += attempt.runs;
     }
     return runs;
@@ -174,7 +182,7 @@
 {
     Part &part = this->parts[number];
     part.hedgeAt.reset();
-    for (const Attempt &attempt : std::span(part.attempts).first(part.count)) {
+    for (const Attempt &attempt : part.made()) {
         if (attempt.live) {
             this->table->countOverdue(now, attempt.endpoint, *this->latency);
         }
@@ -219,10 +227,9 @@
 std::optional<std::pair<std::size_t, RequestRun::Attempt *>> RequestRun::findAttempt(AttemptId attempt)
 {
     for (std::size_t number = 0; number < this->parts.size(); ++number) {
-        Part &part = this->parts[number];
-        for (std::size_t each = 0; each < part.count; ++each) {
-            if (part.attempts[each].id == attempt) {
-                return std::pair(number, &part.attempts[each]);
+        for (Attempt &each : this->parts[number].made()) {
+            if (each.id == attempt) {
+                return std::pair(number, &each);
             }
         }
     }
@@ -242,11 +249,7 @@
     known->runs = surelyNotRun(end.code) ? 0 : 1;
     part.last = end.code;
     if (end.code == ResultCode::Ok) {
-        part.state = PartState::Answered;
-        part.answeredBy = attempt;
-        part.hedgeAt.reset();
-        ++this->answered;
-        this->dropLive(part, false, actions);
+        this->takeResult(part, attempt, actions);
     } else {
         part.failureReply = isReply ? attempt : part.failureReply;
         this->afterFailure(now, number, end.sent, actions);
@@ -254,17 +257,27 @@
     this->finishIfDue(now, actions);
 }
 
+void RequestRun::takeResult(Part &part, AttemptId attempt, std::vector<RunAction> &actions)
+{
+    this->answered += part.state == PartState::Answered ? 0 : 1;
+    this->missing -= part.state == PartState::Missing ? 1 : 0;
+    part.state = PartState::Answered;
+    part.answeredBy = attempt;
+    part.hedgeAt.reset();
+    part.retryAt.reset();
+    this->dropLive(part, false, actions);
+}
+
 /// Tries a part again whose attempt has failed, unless another one is under way.
 void RequestRun::afterFailure(Instant now, std::size_t number, bool sent, std::vector<RunAction> &actions)
 {
     Part &part = this->parts[number];
-    const auto made = std::span(part.attempts).first(part.count);
     if (!sent) {
-        part.arrived = std::ranges::any_of(made, [](const Attempt &each) {
+        part.arrived = std::ranges::any_of(part.made(), [](const Attempt &each) {
             return each.live || each.runs > 0;
         });
     }
-    if (std::ranges::none_of(made, &Attempt::live)) {
+    if (std::ranges::none_of(part.made(), &Attempt::live)) {
         this->retry(now, number, actions);
     }
 }
@@ -290,13 +303,7 @@
     attempt->live = false;
     attempt->runs = end.runs;
     if (end.end.code == ResultCode::Ok && !end.stillAtWork) {
-        this->answered += part.state == PartState::Answered ? 0 : 1;
-        this->missing -= part.state == PartState::Missing ? 1 : 0;
-        part.state = PartState::Answered;
-        part.answeredBy = end.attempt;
-        part.hedgeAt.reset();
-        part.retryAt.reset();
-        this->dropLive(part, false, actions);
+        this->takeResult(part, end.attempt, actions);
         return;
     }
     if (part.state != PartState::Waiting) {
@@ -307,8 +314,7 @@
         this->afterFailure(now, number, end.end.sent, actions);
         return;
     }
-    const auto made = std::span(part.attempts).first(part.count);
-    if (std::ranges::any_of(made, &Attempt::live)) {
+    if (std::ranges::any_of(part.made(), &Attempt::live)) {
         return;
     }
     if (this->mayRunAgain(part)) {
@@ -320,10 +326,10 @@
 
 void RequestRun::dropLive(Part &part, bool callerLeft, std::vector<RunAction> &actions)
 {
-    for (std::size_t each = 0; each < part.count; ++each) {
-        if (part.attempts[each].live) {
-            part.attempts[each].live = false;
-            actions.emplace_back(DropAttempt{.attempt = part.attempts[each].id, .callerLeft = callerLeft});
+    for (Attempt &attempt : part.made()) {
+        if (attempt.live) {
+            attempt.live = false;
+            actions.emplace_back(DropAttempt{.attempt = attempt.id, .callerLeft = callerLeft});
         }
     }
 }
--- a/src/hickoryshore/entry/request_groups.cpp
+++ b/src/hickoryshore/entry/request_groups.cpp
@@ -152,9 +152,9 @@
     const bool answered = !end.failure.has_value() && end.response.status == statusOk
         && reply.ParseFromArray(body.data(), static_cast<int>(body.size()));
     const Duration travel = now - call.sentAt - std::chrono::microseconds(reply.held_us());
+    this->aggregators.countEnd(now, call.vm, call.due, {.answered = answered, .travel = travel});
     // With too few parts it is right not to answer in time.
     const bool late = now > call.due + AggregatorTable::lateAnswer && travel > AggregatorTable::lateAnswer;
-    this->aggregators.countEnd(now, call.vm, call.due, {.answered = answered && !late, .travel = travel});
     if (!answered || late) {
         this->metrics.count(Count::GroupFailures);
         writeLog({.level = LogLevel::Warn,
--- a/src/hickoryshore/entry/request_service.cpp
+++ b/src/hickoryshore/entry/request_service.cpp
@@ -1,5 +1,6 @@
 #include "hickoryshore/entry/request_service.h"
 
+#include "hickoryshore/base/random.h"
 #include "hickoryshore/clock/clock.h"
 #include "hickoryshore/log/log.h"
 
@@ -79,7 +80,7 @@
       upstream(std::make_shared<HttpConnections>(loop, connectionSettings(settings.memoryBytes))),
       peers(std::make_shared<HttpConnections>(loop, peerConnectionSettings(settings.memoryBytes))),
       ownHash(XXH3_64bits(settings.vm.value.data(), settings.vm.value.size())),
-      random(static_cast<std::minstd_rand::result_type>(seed % (std::minstd_rand::modulus - 1) + 1))
+      random(seededGenerator(seed))
 {
     this->repeats = settings.repeats;
     this->places[settings.dataCentre] = ownPlace;
--- a/src/hickoryshore/entry/state_service.cpp
+++ b/src/hickoryshore/entry/state_service.cpp
@@ -179,11 +179,7 @@
         this->followEra(which);
     }
     if (which == Configuration) {
-        for (const StoreItem &item : listing.items) {
-            if (item.key == this->dialect.configurationKey) {
-                this->takeRouteTable(item.value);
-            }
-        }
+        this->takeConfiguration(listing.items);
         return;
     }
     std::vector<ListedReplica> replicas;
@@ -319,9 +315,10 @@
     if (this->askingDeparted || this->departedCalls == departedSources || !this->isComplete()) {
         return;
     }
-    this->askingDeparted = this->store.askDeparted([this](std::optional<std::vector<DepartedStart>> starts) {
+    this->askingDeparted = this->store.askDeparted([this](const DepartedResult &result) {
         this->askingDeparted = false;
-        if (!starts.has_value()) {
+        const auto *starts = std::get_if<std::vector<DepartedStart>>(&result);
+        if (starts == nullptr) {
             return;
         }
         this->registry.noteDeparted(monotonicNow(), *starts);
@@ -336,6 +333,14 @@
     return this->registry.departed();
 }
 
+void StateService::takeConfiguration(std::span<const StoreItem> items)
+{
+    const auto found = std::ranges::find(items, this->dialect.configurationKey, &StoreItem::key);
+    if (found != items.end()) {
+        this->takeRouteTable(found->value);
+    }
+}
+
 void StateService::takeRouteTable(std::string_view text)
 {
     std::shared_ptr<const RouteTable> table;
@@ -473,18 +478,16 @@
                          {"asOf", page == nullptr ? "" : storeRevisionText(page->asOf)},
                          {"before", storeRevisionText(this->prefixes[which].follower.asOf())}}});
     if (page != nullptr && this->concerns(which, page->items)) {
-        for (const StoreItem &item : page->items) {
-            // Whatever the store holds, the configuration of the highest version is in force.
-            if (which == Configuration && item.key == this->dialect.configurationKey) {
-                this->takeRouteTable(item.value);
-            }
+        if (which == Configuration && page->asOf <= this->prefixes[which].follower.asOf()) {
+            // The follower does not take it. Whatever the store holds, the highest version is in force.
+            this->takeConfiguration(page->items);
         }
+        this->prefixes[which].follower.onPeerState(monotonicNow(), std::move(*page), this->actions);
+        this->perform(which);
         if (which == Configuration && this->heard[which].from.value == peer) {
             // What it told of and does not have is not asked for again.
             this->heard[which].revision = this->known(which);
         }
-        this->prefixes[which].follower.onPeerState(monotonicNow(), std::move(*page), this->actions);
-        this->perform(which);
     }
 }
 
--- a/src/hickoryshore/entry/store_sharing.cpp
+++ b/src/hickoryshore/entry/store_sharing.cpp
@@ -84,17 +84,18 @@
     return changes;
 }
 
-/// Makes one call to a peer.
+/// Makes one call to a peer, which may wait for so long before it answers.
 template<typename Result, typename Decoded>
 void call(HttpConnections &peers,
           const std::string &server,
-          const PeerStoreRequest &request,
+          std::string_view target,
+          Duration wait,
           std::optional<Decoded> (*decode)(std::string_view),
           std::function<void(Result)> completion)
 {
     HttpExchange exchange;
-    exchange.request = formatHttpRequest("GET", peerTarget(request), server, {});
-    exchange.timeout = request.wait + peerTimeout;
+    exchange.request = formatHttpRequest("GET", target, server, {});
+    exchange.timeout = wait + peerTimeout;
     exchange.onEnd = [decode, server, completion = std::move(completion)](const HttpExchangeEnd &end) {
         if (!end.failure.has_value() && end.response.status == statusOk) {
             if (std::optional<Decoded> decoded = decode(end.response.body)) {
@@ -112,6 +113,16 @@
     peers.start(server, std::move(exchange));
 }
 
+template<typename Result, typename Decoded>
+void call(HttpConnections &peers,
+          const std::string &server,
+          const PeerStoreRequest &request,
+          std::optional<Decoded> (*decode)(std::string_view),
+          std::function<void(Result)> completion)
+{
+    call(peers, server, peerTarget(request), request.wait, decode, std::move(completion));
+}
+
 } // namespace
 
 std::vector<VmId> storeReaders(const MembershipView &view, const DataCentreId &dataCentre)
@@ -244,20 +255,13 @@
     return able.empty() ? nullptr : able[this->random() % able.size()];
 }
 
-bool StoreSharing::askDeparted(std::function<void(std::optional<std::vector<DepartedStart>>)> completion)
+bool StoreSharing::askDeparted(std::function<void(DepartedResult)> completion)
 {
     const Member *peer = this->drawInformed();
     if (peer == nullptr) {
         return false;
     }
-    HttpExchange exchange;
-    exchange.request = formatHttpRequest("GET", departedPath, this->serverOf(*peer), {});
-    exchange.timeout = peerTimeout;
-    exchange.onEnd = [completion = std::move(completion)](const HttpExchangeEnd &end) {
-        const bool answered = !end.failure.has_value() && end.response.status == statusOk;
-        completion(answered ? decodeDeparted(end.response.body) : std::nullopt);
-    };
-    this->peers->start(this->serverOf(*peer), std::move(exchange));
+    call(*this->peers, this->serverOf(*peer), departedPath, Duration(0), decodeDeparted, std::move(completion));
     return true;
 }
 
--- a/src/hickoryshore/membershipservice/membership_service.cpp
+++ b/src/hickoryshore/membershipservice/membership_service.cpp
@@ -180,7 +180,7 @@
         return;
     }
     for (const Member &member : members) {
-        this->sendDatagram(member.address + ":" + std::to_string(member.membershipPort), datagram);
+        this->sendDatagram(membershipAddress(member), datagram);
     }
 }
 
--- a/src/hickoryshore/registry/replica_registry.cpp
+++ b/src/hickoryshore/registry/replica_registry.cpp
@@ -26,14 +26,19 @@
     this->leaving[startOf(replica.name, replica.record)] = now;
 }
 
-void ReplicaRegistry::put(Instant now, std::string_view name, const ReplicaRecord &record)
+void ReplicaRegistry::forgetHeldBack(std::string_view name)
 {
-    const Start start = startOf(name, record);
-    this->removed.erase(start);
     const auto held = this->heldBack.find(name);
     if (held != this->heldBack.end()) {
         this->heldBack.erase(held);
     }
+}
+
+void ReplicaRegistry::put(Instant now, std::string_view name, const ReplicaRecord &record)
+{
+    const Start start = startOf(name, record);
+    this->removed.erase(start);
+    this->forgetHeldBack(name);
     auto found = this->known.find(name);
     if (found != this->known.end() && isSameStart(found->second.record, record)) {
         found->second.record = record;
@@ -66,10 +71,7 @@
 
 void ReplicaRegistry::remove(Instant now, std::string_view name, bool storeWasAway)
 {
-    const auto held = this->heldBack.find(name);
-    if (held != this->heldBack.end()) {
-        this->heldBack.erase(held);
-    }
+    this->forgetHeldBack(name);
     const auto found = this->known.find(name);
     if (found == this->known.end()) {
         return;
@@ -171,11 +173,10 @@
         const Start start{.name = each.name, .address = each.address, .started = each.started};
         const auto found = this->known.find(each.name);
         const bool isKnown = found != this->known.end() && startOf(each.name, found->second.record) == start;
-        if (!each.removed) {
+        if (!each.removed && isKnown) {
+            this->noteLeaving(now, found->second);
+        } else if (!each.removed) {
             this->leaving[start] = now;
-            if (isKnown) {
-                this->noteLeaving(now, found->second);
-            }
         } else if (isKnown) {
             // It may have been written again since the other VM saw it go.
             this->heldBack[each.name] = {found->second.record, now + copyAllowance};
--- a/src/hickoryshore/routes/service_split.cpp
+++ b/src/hickoryshore/routes/service_split.cpp
@@ -1,13 +1,14 @@
 #include "hickoryshore/routes/service_split.h"
 
+#include "hickoryshore/base/random.h"
+
 #include <algorithm>
 #include <iterator>
 #include <numeric>
 
 namespace hickoryshore {
 
-ServiceSplit::ServiceSplit(std::uint64_t seed)
-    : random(static_cast<std::minstd_rand::result_type>(seed % (std::minstd_rand::modulus - 1) + 1))
+ServiceSplit::ServiceSplit(std::uint64_t seed) : random(seededGenerator(seed))
 { }
 
 ServiceSplit::Shares &ServiceSplit::sharesOf(const Route &route)
--- a/src/hickoryshore/shard/scheduler_state.cpp
+++ b/src/hickoryshore/shard/scheduler_state.cpp
@@ -1,5 +1,6 @@
 #include "scheduler_state.h"
 
+#include "hickoryshore/base/random.h"
 #include "hickoryshore/shard/retry_policy.h"
 
 #include <algorithm>
@@ -39,7 +40,7 @@
       queue(this->settings.callers),
       hedgeBudget(this->settings.hedgeBudget, budgetReserve(this->settings, smallestHedgeReserve)),
       retryBudget(this->settings.retryBudget, budgetReserve(this->settings, smallestReserve)),
-      random(static_cast<std::minstd_rand::result_type>(seed % (std::minstd_rand::modulus - 1) + 1))
+      random(seededGenerator(seed))
 {
     this->replicas.update(this->settings.replicas);
 }
--- a/src/hickoryshore/statesync/prefix_follower.cpp
+++ b/src/hickoryshore/statesync/prefix_follower.cpp
@@ -1,5 +1,7 @@
 #include "hickoryshore/statesync/prefix_follower.h"
 
+#include "hickoryshore/base/random.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -33,8 +35,7 @@
     return std::to_string(revision.era) + "." + std::to_string(revision.number);
 }
 
-PrefixFollower::PrefixFollower(std::uint64_t seed)
-    : random(static_cast<std::minstd_rand::result_type>(seed % (std::minstd_rand::modulus - 1) + 1))
+PrefixFollower::PrefixFollower(std::uint64_t seed) : random(seededGenerator(seed))
 { }
 
 void PrefixFollower::start(Instant now, std::vector<FollowerAction> &actions)
