State: log and measure how old the configuration and registrations are, and at whom a call waits

Change: a follower records when the store last confirmed its state, directly or through other VMs; VMs tell each other that age with each answer. configurationTaken and storeLost/storeReached name the source, the age and the time of the call; stateStale and stateConfirmed tell when the store has not confirmed a prefix for 2.5 s. Two gauges give the ages.

Tests: the age in prefix_follower_test; statesync_test and entry_test pass.

--- a/include/hickoryshore/entry/state_service.h
+++ b/include/hickoryshore/entry/state_service.h
@@ -6,6 +6,7 @@
 #include "hickoryshore/entry/store_sharing.h"
 #include "hickoryshore/eventloop/event_loop.h"
 #include "hickoryshore/httpserver/http_listener.h"
+#include "hickoryshore/log/log.h"
 #include "hickoryshore/membership/member.h"
 
 #include <array>
@@ -73,6 +74,11 @@
 
     bool isCutOff() const;
 
+    /// Returns how long ago the store confirmed the configuration or the registrations, directly or through other VMs,
+    /// or std::nullopt before the first listing.
+    std::optional<Duration> configurationAge() const;
+    std::optional<Duration> replicasAge() const;
+
 private:
     enum PrefixKind : std::size_t { Configuration, Replicas, PrefixKindCount };
 
@@ -82,6 +88,8 @@
         PrefixFollower follower;
         Instant timerAt = Instant::max();
         bool listed = false;
+        bool stale = false; ///< Whether the store has not confirmed the state for maxStateAge.
+        std::string source; ///< Name of the VM that sent the state being applied, or storeSourceName.
     };
 
     void perform(PrefixKind kind);
@@ -91,6 +99,8 @@
     bool hasOnlyOwnKeys(PrefixKind kind, const std::vector<Key> &keys) const;
     void watch(PrefixKind kind, const WatchKeys &call);
     void armTimer(PrefixKind kind);
+    std::vector<LogField> callFields(PrefixKind kind) const;
+    void logStaleness();
     void applyListing(PrefixKind kind, const ApplyListing &listing);
     void applyChange(PrefixKind kind, const ApplyChange &change);
     void applyConfiguration(std::span<const StoreItem> items);
@@ -126,6 +136,7 @@
     void askPeerIfLate(PrefixKind kind, Duration maxLag);
     void applyPeerState(PrefixKind kind, PageResult result, const std::string &peer);
     void requestStateFrom(const Member &peer, PrefixKind kind);
+    Duration ageForPeers(PrefixKind kind, const StoreRevision &after) const;
     std::optional<HttpAnswer> changesFor(PrefixKind kind, const StoreRevision &after, bool evenIfEmpty) const;
     std::vector<StoreItem> itemsForPeers(PrefixKind kind) const;
     void answerWaiting();
--- a/include/hickoryshore/entry/store_sharing.h
+++ b/include/hickoryshore/entry/store_sharing.h
@@ -34,6 +34,16 @@
 /// The departed replicas that another VM has recorded, or the failure of the request.
 using DepartedResult = std::variant<std::vector<DepartedInstance>, StoreFailure>;
 
+/// The source of VMs that call the store directly, in logs.
+inline constexpr std::string_view storeSourceName = "store";
+
+/// A call to the store or to the VM in its place.
+struct StoreCall
+{
+    std::string source; ///< Name of the VM, or storeSourceName.
+    Instant startedAt;
+};
+
 /// Calls the store, directly or through another VM. Must be used on the loop's thread.
 class StoreSharing
 {
@@ -46,6 +56,9 @@
     /// Returns the calls for a PrefixFollower's actions.
     StoreAccess access();
 
+    /// Returns the latest call for a prefix that access() started, for logs. The source is empty before the first one.
+    StoreCall latestCall(std::string_view prefix) const;
+
     /// Lists a prefix at the given peer, regardless of the usual source.
     void listAt(const Member &peer, std::string_view prefix, std::function<void(PageResult)> completion);
 
@@ -67,6 +80,7 @@
                const StoreRevision &after,
                Duration wait,
                std::function<void(ChangesResult)> completion);
+    void recordCall(std::string_view prefix, const std::optional<Member> &peer);
     void recordOutcome(bool failed);
 
     EventLoop &loop;
@@ -77,6 +91,7 @@
     std::shared_ptr<HttpConnections> peers;
     std::uint64_t firstTurn; ///< Random, so that VMs don't all begin with the same source.
     std::map<std::string, std::uint64_t, std::less<>> turns; ///< Current turn of each prefix; see storeSource().
+    std::map<std::string, StoreCall, std::less<>> latestCalls; ///< Of each prefix.
     int failures = 0; ///< Consecutive failed calls.
 };
 
--- a/include/hickoryshore/statesync/prefix_follower.h
+++ b/include/hickoryshore/statesync/prefix_follower.h
@@ -52,6 +52,7 @@
     std::vector<StoreItem> items;
     bool hasMore = false;
     StoreRevision asOf; ///< The store's revision at the time of reading.
+    Duration age{0}; ///< Sent by a peer: how long ago the store confirmed this state.
     std::optional<Duration> timeSinceStoreOutage; ///< Sent by a peer: how long ago the store it follows was
                                                   ///< unavailable.
 };
@@ -69,6 +70,7 @@
 {
     std::vector<StoreChange> changes;
     StoreRevision asOf; ///< The revision from which the next watch continues.
+    Duration age{0}; ///< Sent by a peer: how long ago the store confirmed this revision.
     std::optional<Duration> timeSinceStoreOutage; ///< Sent by a peer: how long ago the store it follows was
                                                   ///< unavailable.
 };
@@ -155,6 +157,10 @@
     /// Returns the revision of the current state, or number 0 before the first listing.
     StoreRevision asOf() const;
 
+    /// Returns how long ago the store confirmed the current state, directly or through peers, or std::nullopt before
+    /// the first listing. A call that is pending does not confirm anything.
+    std::optional<Duration> age(Instant now) const;
+
     /// Returns whether the last call to the store failed or none has been answered yet.
     bool isCutOff() const;
 
@@ -187,12 +193,14 @@
                     const StoreRevision &asOf,
                     std::vector<FollowerAction> &actions);
     void recordOutage(Instant now, std::optional<Duration> ago);
+    void recordConfirmation(Instant confirmedAt);
     void backOff(Instant now);
     Duration randomDelay(Duration minDelay, Duration maxDelay);
 
     std::map<std::string, Value, std::less<>> state;
     std::vector<StoreItem> listedItems; ///< Items of the pages received so far in an incomplete listing.
     StoreRevision listedAsOf;
+    Instant listedAt; ///< When the state of the first page was confirmed.
     StoreRevision knownAsOf;
     StoreRevision watchedFrom; ///< Revision from which the last watch started.
     bool mustList = true;
@@ -203,6 +211,7 @@
     Instant watchedAt; ///< When the last watch started.
     Instant relistedAt; ///< When a listing was last scheduled because the history was gone.
     std::optional<Instant> nextCallAt; ///< When the next call is due.
+    std::optional<Instant> confirmedAt; ///< When the store last confirmed the current state.
     std::optional<Instant> lastOutageAt; ///< When the store was last unavailable.
     std::minstd_rand random;
 };
--- a/src/hickoryshore/entry/entry_vm.cpp
+++ b/src/hickoryshore/entry/entry_vm.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 namespace hickoryshore {
 
@@ -80,6 +81,13 @@
     return (std::uint64_t{device()} << 32U) | device();
 }
 
+/// Returns a duration for a gauge: NaN for none, as no value is known.
+double seconds(std::optional<Duration> duration)
+{
+    return duration.has_value() ? std::chrono::duration<double>(*duration).count()
+                                : std::numeric_limits<double>::quiet_NaN();
+}
+
 } // namespace
 
 EntryVm::EntryVm(EventLoop &loop, const EntrySettings &settings, PlatformProtocol protocol, StoreAccess store)
@@ -348,6 +356,8 @@
         Gauge{"configuration_version", "Of the routes in force", static_cast<double>(this->state.version())},
         Gauge{"store_era", "Of the store, as far as known", static_cast<double>(this->state.era())},
         Gauge{"store_reached", "Whether the store answers", this->state.isCutOff() ? 0.0 : 1.0},
+        Gauge{"configuration_age_seconds", "Since the store confirmed it", seconds(this->state.configurationAge())},
+        Gauge{"replicas_age_seconds", "Since the store confirmed them", seconds(this->state.replicasAge())},
         Gauge{"log_lines_dropped", "Since the start", static_cast<double>(droppedLogLines())}};
     return this->metrics.prometheusText(gauges) + this->requests.latencyText();
 }
--- a/src/hickoryshore/entry/state_service.cpp
+++ b/src/hickoryshore/entry/state_service.cpp
@@ -25,6 +25,10 @@
 /// The same for registrations. Longer, since a watch is renewed at most every 300 ms and then returns the changes made
 /// in between.
 constexpr Duration maxReplicaLag = 1s;
+/// Age at which a state counts as stale. Longer than a watch at the store with its answer, which confirms the state.
+constexpr Duration maxStateAge = 2500ms;
+/// Age that peers are told of a state that the store has not confirmed.
+constexpr Duration unconfirmedAge = 24h;
 /// Interval of requests to other VMs for newer registrations. After a partition, a VM follows the store again only once
 /// its watch has failed, and so do the VMs that follow it.
 constexpr Duration freshnessCheckInterval = 2s;
@@ -50,6 +54,11 @@
     return failure == nullptr ? StoreFailure::Unavailable : *failure;
 }
 
+std::string ageText(std::optional<Duration> age)
+{
+    return age.has_value() ? std::to_string(ceilMilliseconds(*age)) : std::string();
+}
+
 } // namespace
 
 StateService::StateService(EventLoop &loop,
@@ -83,6 +92,7 @@
         this->askDeparted();
         this->expireReplicas();
         this->answerWaiting();
+        this->logStaleness();
     });
 }
 
@@ -111,8 +121,38 @@
         writeLog({.level = reach->reachable ? LogLevel::Info : LogLevel::Warn,
                   .slice = slice,
                   .event = reach->reachable ? "storeReached" : "storeLost",
-                  .fields = {{"prefix", this->prefixes[kind].name},
-                             {"asOf", storeRevisionText(this->prefixes[kind].follower.asOf())}}});
+                  .fields = this->callFields(kind)});
+    }
+}
+
+/// Returns what tells a call that hears nothing from a source that knows nothing new: the latest call's source, how
+/// long ago it started, and the age of the state.
+std::vector<LogField> StateService::callFields(PrefixKind kind) const
+{
+    const Prefix &prefix = this->prefixes[kind];
+    const Instant now = monotonicNow();
+    const StoreCall call = this->store.latestCall(prefix.name);
+    return {{"prefix", prefix.name},
+            {"asOf", storeRevisionText(prefix.follower.asOf())},
+            {"source", call.source},
+            {"callMs", std::to_string(ceilMilliseconds(now - call.startedAt))},
+            {"stateAgeMs", ageText(prefix.follower.age(now))}};
+}
+
+/// Logs when a state becomes stale, and when it is confirmed again.
+void StateService::logStaleness()
+{
+    for (const PrefixKind kind : {Configuration, Replicas}) {
+        Prefix &prefix = this->prefixes[kind];
+        const auto age = prefix.follower.age(monotonicNow());
+        const bool stale = age.has_value() && *age > maxStateAge;
+        if (stale != prefix.stale) {
+            prefix.stale = stale;
+            writeLog({.level = stale ? LogLevel::Warn : LogLevel::Info,
+                      .slice = slice,
+                      .event = stale ? "stateStale" : "stateConfirmed",
+                      .fields = this->callFields(kind)});
+        }
     }
 }
 
@@ -120,6 +160,7 @@
 {
     this->storeCalls.list(this->prefixes[kind].name, call.after, [this, kind](PageResult result) {
         PrefixFollower &follower = this->prefixes[kind].follower;
+        this->prefixes[kind].source = this->store.latestCall(this->prefixes[kind].name).source;
         auto *page = std::get_if<StorePage>(&result);
         if (page != nullptr && this->hasOnlyOwnKeys(kind, page->items)) {
             follower.onPage(monotonicNow(), std::move(*page), this->actions);
@@ -152,6 +193,7 @@
 {
     this->storeCalls.watch(this->prefixes[kind].name, call.after, watchWait, [this, kind](ChangesResult result) {
         PrefixFollower &follower = this->prefixes[kind].follower;
+        this->prefixes[kind].source = this->store.latestCall(this->prefixes[kind].name).source;
         auto *changes = std::get_if<StoreChanges>(&result);
         if (changes != nullptr && this->hasOnlyOwnKeys(kind, changes->changes)) {
             follower.onChanges(monotonicNow(), std::move(*changes), this->actions);
@@ -362,11 +404,14 @@
     }
     const std::uint64_t before = this->routes == nullptr ? 0 : this->routes->version;
     const bool newer = table->version > before;
+    const Prefix &configuration = this->prefixes[Configuration];
     writeLog({.slice = slice,
               .event = newer ? "configurationTaken" : "configurationIgnored",
               .fields = {{"version", std::to_string(table->version)},
                          {"before", std::to_string(before)},
-                         {"asOf", storeRevisionText(this->prefixes[Configuration].follower.asOf())},
+                         {"asOf", storeRevisionText(configuration.follower.asOf())},
+                         {"source", configuration.source},
+                         {"stateAgeMs", ageText(configuration.follower.age(monotonicNow()))},
                          {"routes", std::to_string(table->routes.size())}}});
     if (table->version == before && text != this->routesText) {
         writeLog({.level = LogLevel::Error,
@@ -488,6 +533,7 @@
                          {"asOf", page == nullptr ? "" : storeRevisionText(page->asOf)},
                          {"before", storeRevisionText(this->prefixes[kind].follower.asOf())}}});
     if (page != nullptr && this->hasOnlyOwnKeys(kind, page->items)) {
+        this->prefixes[kind].source = peer;
         if (kind == Configuration && page->asOf <= this->prefixes[kind].follower.asOf()) {
             // The follower ignores this state, but the highest version is in force regardless of the store's revision.
             this->applyConfiguration(page->items);
@@ -512,6 +558,7 @@
         if (!request.changesAfter.has_value()) {
             answer({.body = encodePage({.items = this->itemsForPeers(kind),
                                         .asOf = prefix.follower.asOf(),
+                                        .age = this->ageForPeers(kind, prefix.follower.asOf()),
                                         .timeSinceStoreOutage = prefix.follower.timeSinceOutage(now)})});
             return;
         }
@@ -553,9 +600,18 @@
     }
     return HttpAnswer{.body = encodeChanges({.changes = std::move(*changes),
                                              .asOf = std::max(after, follower.asOf()),
+                                             .age = this->ageForPeers(kind, after),
                                              .timeSinceStoreOutage = follower.timeSinceOutage(monotonicNow())})};
 }
 
+/// Returns the age that a peer at the given revision is told. What this VM knows of an earlier era confirms nothing
+/// about the peer's state.
+Duration StateService::ageForPeers(PrefixKind kind, const StoreRevision &after) const
+{
+    const PrefixFollower &follower = this->prefixes[kind].follower;
+    return after.era > follower.asOf().era ? unconfirmedAge : follower.age(monotonicNow()).value_or(unconfirmedAge);
+}
+
 void StateService::answerWaiting()
 {
     const Instant now = monotonicNow();
@@ -593,6 +649,16 @@
     return this->prefixes[Replicas].follower.asOf().era;
 }
 
+std::optional<Duration> StateService::configurationAge() const
+{
+    return this->prefixes[Configuration].follower.age(monotonicNow());
+}
+
+std::optional<Duration> StateService::replicasAge() const
+{
+    return this->prefixes[Replicas].follower.age(monotonicNow());
+}
+
 bool StateService::isCutOff() const
 {
     return this->prefixes[Configuration].follower.isCutOff() || this->prefixes[Replicas].follower.isCutOff();
--- a/src/hickoryshore/entry/store_sharing.cpp
+++ b/src/hickoryshore/entry/store_sharing.cpp
@@ -1,9 +1,11 @@
 #include "hickoryshore/entry/store_sharing.h"
 
+#include "hickoryshore/clock/clock.h"
 #include "hickoryshore/log/log.h"
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 #include <map>
 #include <utility>
 
@@ -54,13 +56,22 @@
     wire.set_away_ago_ms(static_cast<std::uint32_t>(ceilMilliseconds(ago.value_or(Duration(0)))));
 }
 
+std::uint32_t encodeAge(Duration age)
+{
+    constexpr std::int64_t maxAgeMs = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(ceilMilliseconds(age), 0, maxAgeMs));
+}
+
 std::optional<StorePage> decodePage(std::string_view body)
 {
     wire::FollowedPrefix wire;
     if (!wire.ParseFromArray(body.data(), static_cast<int>(body.size())) || !wire.has_era()) {
         return std::nullopt;
     }
-    StorePage page{.items = {}, .asOf = {wire.era(), wire.as_of()}, .timeSinceStoreOutage = awayAgoOf(wire)};
+    StorePage page{.items = {},
+                   .asOf = {wire.era(), wire.as_of()},
+                   .age = std::chrono::milliseconds(wire.age_ms()),
+                   .timeSinceStoreOutage = awayAgoOf(wire)};
     for (const wire::FollowedKey &key : wire.keys()) {
         page.items.push_back({key.key(), key.value(), key.revision()});
     }
@@ -73,7 +84,10 @@
     if (!wire.ParseFromArray(body.data(), static_cast<int>(body.size())) || !wire.has_era()) {
         return std::nullopt;
     }
-    StoreChanges changes{.changes = {}, .asOf = {wire.era(), wire.as_of()}, .timeSinceStoreOutage = awayAgoOf(wire)};
+    StoreChanges changes{.changes = {},
+                         .asOf = {wire.era(), wire.as_of()},
+                         .age = std::chrono::milliseconds(wire.age_ms()),
+                         .timeSinceStoreOutage = awayAgoOf(wire)};
     for (const wire::FollowedKey &key : wire.keys()) {
         StoreChange change{.key = key.key(), .value = std::nullopt, .revision = key.revision()};
         if (!key.removed()) {
@@ -209,6 +223,18 @@
     return storeSource(*this->members, this->failures, turn->second);
 }
 
+void StoreSharing::recordCall(std::string_view prefix, const std::optional<Member> &peer)
+{
+    this->latestCalls[std::string(prefix)]
+        = {.source = peer.has_value() ? peer->vm.value : std::string(storeSourceName), .startedAt = monotonicNow()};
+}
+
+StoreCall StoreSharing::latestCall(std::string_view prefix) const
+{
+    const auto found = this->latestCalls.find(prefix);
+    return found == this->latestCalls.end() ? StoreCall{} : found->second;
+}
+
 void StoreSharing::recordOutcome(bool failed)
 {
     this->failures = failed ? this->failures + 1 : 0;
@@ -292,6 +318,7 @@
     // Only the store returns listings in pages, so the next page comes from the store. A listing that follows a watch
     // refused by a peer for lack of history goes to the same peer, since another one may be behind.
     const std::optional<Member> peer = after.empty() ? this->source(prefix, false) : std::nullopt;
+    this->recordCall(prefix, peer);
     if (peer.has_value()) {
         this->listAt(*peer, prefix, std::move(counted));
     } else {
@@ -310,6 +337,7 @@
         completion(std::move(result));
     };
     const std::optional<Member> peer = this->source(prefix, true);
+    this->recordCall(prefix, peer);
     if (!peer.has_value()) {
         this->store.watch(prefix, after, wait, std::move(counted));
         return;
@@ -370,6 +398,7 @@
     wire::FollowedPrefix wire;
     wire.set_as_of(page.asOf.number);
     wire.set_era(page.asOf.era);
+    wire.set_age_ms(encodeAge(page.age));
     setAwayAgo(wire, page.timeSinceStoreOutage);
     for (const StoreItem &item : page.items) {
         wire::FollowedKey &key = *wire.add_keys();
@@ -385,6 +414,7 @@
     wire::FollowedPrefix wire;
     wire.set_as_of(changes.asOf.number);
     wire.set_era(changes.asOf.era);
+    wire.set_age_ms(encodeAge(changes.age));
     setAwayAgo(wire, changes.timeSinceStoreOutage);
     for (const StoreChange &change : changes.changes) {
         wire::FollowedKey &key = *wire.add_keys();
--- a/src/hickoryshore/statesync/prefix_follower.cpp
+++ b/src/hickoryshore/statesync/prefix_follower.cpp
@@ -84,6 +84,16 @@
     }
 }
 
+void PrefixFollower::recordConfirmation(Instant confirmedAt)
+{
+    this->confirmedAt = std::max(this->confirmedAt.value_or(confirmedAt), confirmedAt);
+}
+
+std::optional<Duration> PrefixFollower::age(Instant now) const
+{
+    return this->confirmedAt.has_value() ? std::optional<Duration>(now - *this->confirmedAt) : std::nullopt;
+}
+
 void PrefixFollower::onPage(Instant now, StorePage page, std::vector<FollowerAction> &actions)
 {
     this->markReachable(actions);
@@ -101,6 +111,7 @@
         return;
     }
     // Pages are read at different times, so the watch starts at the revision of the oldest page.
+    this->listedAt = this->listedItems.empty() ? now - page.age : this->listedAt;
     this->listedAsOf = this->listedItems.empty() ? page.asOf : std::min(this->listedAsOf, page.asOf);
     std::ranges::move(page.items, std::back_inserter(this->listedItems));
     if (!page.hasMore || page.items.empty()) {
@@ -111,6 +122,7 @@
         }
         this->failures = 0;
         this->mustList = false;
+        this->recordConfirmation(this->listedAt);
     }
     this->scheduleNextCall(now, actions);
 }
@@ -127,6 +139,9 @@
     const bool fromOlderCopy = this->knownAsOf.number > 0 && asOf.era > this->knownAsOf.era;
     // Keys written after the copy was made are written again, some of them after this listing.
     this->lastOutageAt = fromOlderCopy ? now : this->lastOutageAt;
+    if (fromOlderCopy) {
+        this->confirmedAt.reset();
+    }
     this->knownAsOf = asOf;
     this->recentChanges.clear();
     this->recentChangesStart = asOf.number;
@@ -164,13 +179,18 @@
         return;
     }
     this->failures = 0;
+    this->recordConfirmation(now - changes.age);
     this->applyChanges(now, std::move(changes), actions);
     this->scheduleNextCall(now, actions);
 }
 
 void PrefixFollower::onPeerChanges(Instant now, StoreChanges changes, std::vector<FollowerAction> &actions)
 {
-    if (!this->mustList && changes.asOf.era == this->knownAsOf.era && changes.asOf > this->knownAsOf) {
+    if (this->mustList || changes.asOf.era != this->knownAsOf.era) {
+        return;
+    }
+    this->recordConfirmation(now - changes.age);
+    if (changes.asOf > this->knownAsOf) {
         this->applyChanges(now, std::move(changes), actions);
     }
 }
@@ -246,14 +266,19 @@
 
 void PrefixFollower::onPeerState(Instant now, StorePage state, std::vector<FollowerAction> &actions)
 {
-    if (state.asOf <= this->knownAsOf) {
+    if (state.asOf.era < this->knownAsOf.era) {
         return;
     }
-    this->recordOutage(now, state.timeSinceStoreOutage);
-    this->applyState(now, std::move(state.items), state.asOf, actions);
-    // The pending listing is no longer needed.
-    this->mustList = false;
-    this->listedItems.clear();
+    const Instant stateConfirmedAt = now - state.age;
+    if (state.asOf > this->knownAsOf) {
+        this->recordOutage(now, state.timeSinceStoreOutage);
+        this->applyState(now, std::move(state.items), state.asOf, actions);
+        // The pending listing is no longer needed.
+        this->mustList = false;
+        this->listedItems.clear();
+    }
+    // Where this VM's state is newer than the peer's, it holds all that the store held at that time.
+    this->recordConfirmation(stateConfirmedAt);
 }
 
 void PrefixFollower::onTimer(Instant now, std::vector<FollowerAction> &actions)
--- a/src/hickoryshore/statesync/prefix_follower_test.cpp
+++ b/src/hickoryshore/statesync/prefix_follower_test.cpp
@@ -83,6 +83,34 @@
     BOOST_TEST(watches <= 4);
 }
 
+BOOST_AUTO_TEST_CASE(the_age_counts_from_the_last_confirmation_of_the_store)
+{
+    BOOST_TEST(!this->follower.age(start).has_value());
+    this->list(10);
+    // The pending watch confirms nothing.
+    BOOST_TEST((this->follower.age(start + 3s) == 3s));
+    this->follower.onChanges(start + 4s, {.changes = {}, .asOf = {0, 10}}, this->actions);
+    BOOST_TEST((this->follower.age(start + 4s) == 0s));
+    // A peer confirms what the store confirmed to it.
+    this->follower.onChanges(start + 9s, {.changes = {}, .asOf = {0, 10}, .age = 2s}, this->actions);
+    BOOST_TEST((this->follower.age(start + 9s) == 2s));
+    this->follower.onPeerChanges(start + 9s, {.changes = {}, .asOf = {0, 10}, .age = 30s}, this->actions);
+    BOOST_TEST((this->follower.age(start + 9s) == 2s));
+    this->follower.onPeerState(start + 9s, {.items = {}, .asOf = {0, 8}, .age = 1s}, this->actions);
+    BOOST_TEST((this->follower.age(start + 9s) == 1s));
+    this->follower.onFailure(start + 10s, StoreFailure::Unavailable, this->actions);
+    BOOST_TEST((this->follower.age(start + 10s) == 2s));
+}
+
+BOOST_AUTO_TEST_CASE(an_earlier_era_does_not_confirm_the_state_of_a_later_one)
+{
+    this->list(10);
+    this->follower.onPeerState(start + 5s, {.items = {{"a", "1", 2}}, .asOf = {1, 3}, .age = 4s}, this->actions);
+    BOOST_TEST((this->follower.age(start + 5s) == 4s));
+    this->follower.onPeerState(start + 5s, {.items = {}, .asOf = {0, 20}}, this->actions);
+    BOOST_TEST((this->follower.age(start + 5s) == 4s));
+}
+
 BOOST_AUTO_TEST_CASE(missing_history_leads_to_a_new_listing)
 {
     this->list(10);
