State: bound for how long a watch that the store has lost hides changes

Cause: a watch at the store waited 20 s and was given up after 22 s. A store that has been silent has lost the watches that it read meanwhile, so a VM that called it then heard nothing for up to 22 s after it was back. All VMs follow a few readers, so the whole fleet heard nothing.

Ruled out: a late application (the table is applied 0.1 ms after the answer that brings it), dropped news (no configurationIgnored in these seconds).

Change: a watch waits 2 s, and after a failed call none at all, so that the next answer tells at once that the source is back; its answer is overdue 1 s after the wait. Each answer confirms the state.

--- a/include/hickoryshore/statesync/prefix_follower.h
+++ b/include/hickoryshore/statesync/prefix_follower.h
@@ -88,10 +88,11 @@
     std::string after;
 };
 
-/// Waits for changes after the revision.
+/// Waits for changes after the revision, for at most `wait`.
 struct WatchKeys
 {
     StoreRevision after;
+    Duration wait{0};
 };
 
 /// Replaces the whole state of the prefix.
@@ -132,6 +133,10 @@
     /// counts each call.
     static constexpr Duration watchInterval = std::chrono::milliseconds(300);
 
+    /// Longest wait of a watch. Its answer confirms the state even if there are no changes; a watch that the store has
+    /// lost is noticed only when its answer is overdue.
+    static constexpr Duration maxWatchWait = std::chrono::seconds(2);
+
     /// Upper bound of the random delay before a listing after a watch reported a new era, because all VMs see the new
     /// era at the same time.
     static constexpr Duration maxListingDelay = std::chrono::milliseconds(100);
--- a/src/hickoryshore/entry/state_service.cpp
+++ b/src/hickoryshore/entry/state_service.cpp
@@ -13,8 +13,6 @@
 
 using namespace std::chrono_literals;
 
-/// The store counts a watch as one call regardless of its duration, and allows up to 30 s.
-constexpr Duration watchWait = 20s;
 /// How long to wait for the membership at the start, since it determines whether this VM calls the store at all. With
 /// less time, every VM of a large fleet would list the store.
 constexpr Duration membershipTimeout = 250ms;
@@ -25,8 +23,9 @@
 /// The same for registrations. Longer, since a watch is renewed at most every 300 ms and then returns the changes made
 /// in between.
 constexpr Duration maxReplicaLag = 1s;
-/// Age at which a state counts as stale. Longer than a watch at the store with its answer, which confirms the state.
-constexpr Duration maxStateAge = 2500ms;
+/// Age above which a state is logged as stale: a watch at the store, then one at a VM that follows it, and their
+/// answers.
+constexpr Duration maxStateAge = 3500ms;
 /// Age that peers are told of a state that the store has not confirmed.
 constexpr Duration unconfirmedAge = 24h;
 /// Interval of requests to other VMs for newer registrations. After a partition, a VM follows the store again only once
@@ -191,7 +190,7 @@
 
 void StateService::watch(PrefixKind kind, const WatchKeys &call)
 {
-    this->storeCalls.watch(this->prefixes[kind].name, call.after, watchWait, [this, kind](ChangesResult result) {
+    this->storeCalls.watch(this->prefixes[kind].name, call.after, call.wait, [this, kind](ChangesResult result) {
         PrefixFollower &follower = this->prefixes[kind].follower;
         this->prefixes[kind].source = this->store.latestCall(this->prefixes[kind].name).source;
         auto *changes = std::get_if<StoreChanges>(&result);
--- a/src/hickoryshore/statesync/prefix_follower.cpp
+++ b/src/hickoryshore/statesync/prefix_follower.cpp
@@ -53,7 +53,8 @@
     if (!this->mustList) {
         this->watchedAt = now;
         this->watchedFrom = this->knownAsOf;
-        actions.emplace_back(WatchKeys{this->knownAsOf});
+        // After a failure, a watch that returns at once tells soonest whether the source answers again.
+        actions.emplace_back(WatchKeys{this->knownAsOf, this->failures > 0 ? Duration(0) : maxWatchWait});
         return;
     }
     actions.emplace_back(ListKeys{this->listedItems.empty() ? std::string() : this->listedItems.back().key});
--- a/src/hickoryshore/statesync/prefix_follower_test.cpp
+++ b/src/hickoryshore/statesync/prefix_follower_test.cpp
@@ -83,6 +83,22 @@
     BOOST_TEST(watches <= 4);
 }
 
+// Guards against a watch that the store has lost: its wait bounds for how long it hides changes.
+BOOST_AUTO_TEST_CASE(a_watch_waits_briefly_and_not_at_all_after_a_failure)
+{
+    this->follower.start(start, this->actions);
+    this->follower.onPage(start, {.items = {}, .asOf = {0, 10}}, this->actions);
+    BOOST_TEST((this->take<WatchKeys>().at(0).wait <= 2s));
+    this->follower.onFailure(start + 3s, StoreFailure::Unavailable, this->actions);
+    const Instant retry = this->follower.nextTimer().value();
+    this->follower.onTimer(retry, this->actions);
+    BOOST_TEST((this->take<WatchKeys>().at(0).wait == 0s));
+    this->follower.onChanges(retry, {.changes = {}, .asOf = {0, 10}}, this->actions);
+    const Instant next = this->follower.nextTimer().value();
+    this->follower.onTimer(next, this->actions);
+    BOOST_TEST((this->take<WatchKeys>().at(0).wait > 0s));
+}
+
 BOOST_AUTO_TEST_CASE(the_age_counts_from_the_last_confirmation_of_the_store)
 {
     BOOST_TEST(!this->follower.age(start).has_value());
