State: a VM that answers but has lost the store is no source for others

VMs that were added took version 4 from peers 2.3 s after version 6 had been acknowledged, and 20 VMs stayed on it, all with a path to the store.

Cause: a VM that follows another one took each answer without changes for a success, however long the other one had heard nothing of the store. Failures of the two prefixes were counted together besides, so that an answer for one hid that the other's source had failed.

Change: an answer without changes from a VM whose state the store confirmed more than 2.5 s ago counts as failed, so the next call goes to sources of all data centres and in turn to the store. A VM whose state is stale answers at once instead of keeping others waiting. Each prefix has its own count. In a large fleet fewer calls go to the store for this reason, as all sources are stale in an outage.

--- a/include/hickoryshore/entry/state_service.h
+++ b/include/hickoryshore/entry/state_service.h
@@ -137,6 +137,7 @@
     void applyPeerState(PrefixKind kind, PageResult result, const std::string &peer);
     void requestStateFrom(const Member &peer, PrefixKind kind);
     Duration ageForPeers(PrefixKind kind, const StoreRevision &after) const;
+    bool isStaleFor(PrefixKind kind, const StoreRevision &after) const;
     std::optional<HttpAnswer> changesFor(PrefixKind kind, const StoreRevision &after, bool evenIfEmpty) const;
     std::vector<StoreItem> itemsForPeers(PrefixKind kind) const;
     void answerWaiting();
--- a/include/hickoryshore/entry/store_sharing.h
+++ b/include/hickoryshore/entry/store_sharing.h
@@ -25,11 +25,22 @@
 /// chosen, since the others read from them.
 std::vector<VmId> storeReaders(const MembershipView &view, const DataCentreId &dataCentre);
 
-/// Returns the VM through which to follow the store, or std::nullopt if the store is to be called directly. `failures`
-/// is the number of consecutive failed calls: after a failure, sources of all data centres are used, and every third
-/// call goes to the store. A VM that calls the store itself alternates between the store and a source while calls
-/// fail. `turn` selects among the sources, in rotation if it grows by one per call.
-std::optional<Member> storeSource(const MembershipView &view, int failures, std::uint64_t turn);
+/// Age of a state above which the VM that sent it is no source: the store has answered neither it nor the VM that it
+/// follows for longer than a watch takes.
+inline constexpr Duration maxSourceAge = std::chrono::milliseconds(2500);
+
+/// Consecutive calls for a prefix that told nothing new of the store.
+struct SourceFailures
+{
+    int failed = 0; ///< Calls without an answer.
+    int stale = 0; ///< Answers of VMs whose state was older than maxSourceAge.
+};
+
+/// Returns the VM through which to follow the store, or std::nullopt if the store is to be called directly. After a
+/// failure, sources of all data centres are used, and every third call goes to the store; if sources are stale, fewer
+/// in a large fleet, all of which may have lost the store. A VM that calls the store itself alternates between the
+/// store and a source after failures. `turn` selects among the sources, in rotation if it grows by one per call.
+std::optional<Member> storeSource(const MembershipView &view, const SourceFailures &failures, std::uint64_t turn);
 
 /// The departed replicas that another VM has recorded, or the failure of the request.
 using DepartedResult = std::variant<std::vector<DepartedInstance>, StoreFailure>;
@@ -72,7 +83,7 @@
     bool askDeparted(std::function<void(DepartedResult)> completion);
 
 private:
-    std::optional<Member> source(std::string_view prefix, bool next);
+    std::optional<Member> nextSource(std::string_view prefix, bool rotate);
     const Member *randomConfiguredPeer();
     std::string serverOf(const Member &peer) const;
     void list(std::string_view prefix, std::string_view after, std::function<void(PageResult)> completion);
@@ -80,8 +91,17 @@
                const StoreRevision &after,
                Duration wait,
                std::function<void(ChangesResult)> completion);
-    void recordCall(std::string_view prefix, const std::optional<Member> &peer);
-    void recordOutcome(bool failed);
+    /// How a prefix is followed.
+    struct PrefixSource
+    {
+        std::uint64_t turn = 0; ///< See storeSource().
+        SourceFailures failures;
+        StoreCall latestCall;
+    };
+
+    PrefixSource &sourceOf(std::string_view prefix);
+    template<typename State>
+    void recordOutcome(std::string_view prefix, const std::variant<State, StoreFailure> &result);
 
     EventLoop &loop;
     StoreAccess store;
@@ -90,9 +110,7 @@
     std::shared_ptr<const MembershipView> members;
     std::shared_ptr<HttpConnections> peers;
     std::uint64_t firstTurn; ///< Random, so that VMs don't all begin with the same source.
-    std::map<std::string, std::uint64_t, std::less<>> turns; ///< Current turn of each prefix; see storeSource().
-    std::map<std::string, StoreCall, std::less<>> latestCalls; ///< Of each prefix.
-    int failures = 0; ///< Consecutive failed calls.
+    std::map<std::string, PrefixSource, std::less<>> sources;
 };
 
 /// A request of one VM to another for the keys under a prefix, or for changes to them.
--- a/include/hickoryshore/statesync/prefix_follower.h
+++ b/include/hickoryshore/statesync/prefix_follower.h
@@ -79,6 +79,7 @@
 enum class StoreFailure {
     Unavailable, ///< The store did not answer.
     PeerUnavailable, ///< A peer did not answer; this does not indicate a store outage.
+    PeerStale, ///< A peer told no changes, but the store has not confirmed its state for long.
     HistoryGone, ///< The changes since the given revision are no longer available.
 };
 
--- a/src/hickoryshore/entry/state_service.cpp
+++ b/src/hickoryshore/entry/state_service.cpp
@@ -562,7 +562,7 @@
             return;
         }
         const StoreRevision after{request.era.value_or(prefix.follower.asOf().era), *request.changesAfter};
-        if (const auto changes = this->changesFor(kind, after, false)) {
+        if (const auto changes = this->changesFor(kind, after, this->isStaleFor(kind, after))) {
             answer(*changes);
         } else {
             this->waiting.push_back({kind, after, now + request.wait, std::move(answer)});
@@ -611,12 +611,19 @@
     return after.era > follower.asOf().era ? unconfirmedAge : follower.age(monotonicNow()).value_or(unconfirmedAge);
 }
 
+/// Returns whether a peer should look for another source rather than wait for changes here.
+bool StateService::isStaleFor(PrefixKind kind, const StoreRevision &after) const
+{
+    return this->ageForPeers(kind, after) > maxSourceAge;
+}
+
 void StateService::answerWaiting()
 {
     const Instant now = monotonicNow();
     std::vector<WaitingPeer> due = std::exchange(this->waiting, {});
     for (WaitingPeer &peer : due) {
-        if (const auto answer = this->changesFor(peer.kind, peer.after, peer.until <= now)) {
+        const bool isDue = peer.until <= now || this->isStaleFor(peer.kind, peer.after);
+        if (const auto answer = this->changesFor(peer.kind, peer.after, isDue)) {
             peer.answer(*answer);
         } else {
             this->waiting.push_back(std::move(peer));
--- a/src/hickoryshore/entry/store_sharing.cpp
+++ b/src/hickoryshore/entry/store_sharing.cpp
@@ -21,6 +21,9 @@
 constexpr std::size_t readersPerDataCentre = 2;
 /// While calls fail, one of this many goes to the store itself.
 constexpr int failuresPerStoreCall = 3;
+/// While sources are stale, one call of as many goes to the store as this many VMs share. In an outage of the store all
+/// sources are stale, and the store counts the calls of the whole fleet.
+constexpr std::size_t vmsPerStaleStoreCall = 8;
 /// Maximum wait of a watch at a peer, so that a stopped peer is detected.
 constexpr Duration maxPeerWait = 1s;
 /// Timeout of a call to a peer beyond its wait: enough for a round trip and a listing.
@@ -159,7 +162,7 @@
     return readers;
 }
 
-std::optional<Member> storeSource(const MembershipView &view, int failures, std::uint64_t turn)
+std::optional<Member> storeSource(const MembershipView &view, const SourceFailures &failures, std::uint64_t turn)
 {
     const Member *self = findMember(view, view.self);
     if (self == nullptr || view.members.size() < 2) {
@@ -167,11 +170,14 @@
     }
     const std::vector<VmId> own = storeReaders(view, self->dataCentre);
     const bool isReader = std::ranges::find(own, view.self) != own.end();
-    // A reader calls the store, and alternates between store and peers while its calls fail.
-    if (isReader ? failures % 2 == 0 : failures % failuresPerStoreCall == failuresPerStoreCall - 1) {
+    const int count = failures.failed + failures.stale;
+    const int paced = static_cast<int>(view.members.size() / vmsPerStaleStoreCall);
+    const int period = failures.stale > 0 ? std::max(failuresPerStoreCall, paced) : failuresPerStoreCall;
+    // A reader calls the store, and alternates between store and peers after failures.
+    if (isReader ? count % 2 == 0 : count % period == period - 1) {
         return std::nullopt;
     }
-    const bool anyDataCentre = isReader || failures > 0;
+    const bool anyDataCentre = isReader || count > 0;
     std::vector<const Member *> sources;
     std::vector<const Member *> configured;
     std::map<DataCentreId, std::vector<VmId>> readersOf; // Cached per data centre, since fleets are large.
@@ -213,31 +219,43 @@
     this->members = std::move(view);
 }
 
-std::optional<Member> StoreSharing::source(std::string_view prefix, bool next)
+StoreSharing::PrefixSource &StoreSharing::sourceOf(std::string_view prefix)
 {
-    if (this->members == nullptr) {
-        return std::nullopt;
-    }
-    const auto [turn, isNew] = this->turns.try_emplace(std::string(prefix), this->firstTurn);
-    turn->second += next ? 1 : 0;
-    return storeSource(*this->members, this->failures, turn->second);
+    return this->sources.try_emplace(std::string(prefix), PrefixSource{.turn = this->firstTurn}).first->second;
 }
 
-void StoreSharing::recordCall(std::string_view prefix, const std::optional<Member> &peer)
+/// Returns the VM for the next call, or std::nullopt for the store, and records the call.
+std::optional<Member> StoreSharing::nextSource(std::string_view prefix, bool rotate)
 {
-    this->latestCalls[std::string(prefix)]
+    PrefixSource &source = this->sourceOf(prefix);
+    std::optional<Member> peer;
+    if (this->members != nullptr) {
+        source.turn += rotate ? 1 : 0;
+        peer = storeSource(*this->members, source.failures, source.turn);
+    }
+    source.latestCall
         = {.source = peer.has_value() ? peer->vm.value : std::string(storeSourceName), .startedAt = monotonicNow()};
+    return peer;
 }
 
 StoreCall StoreSharing::latestCall(std::string_view prefix) const
 {
-    const auto found = this->latestCalls.find(prefix);
-    return found == this->latestCalls.end() ? StoreCall{} : found->second;
+    const auto found = this->sources.find(prefix);
+    return found == this->sources.end() ? StoreCall{} : found->second.latestCall;
 }
 
-void StoreSharing::recordOutcome(bool failed)
+template<typename State>
+void StoreSharing::recordOutcome(std::string_view prefix, const std::variant<State, StoreFailure> &result)
 {
-    this->failures = failed ? this->failures + 1 : 0;
+    SourceFailures &failures = this->sourceOf(prefix).failures;
+    const auto *failure = std::get_if<StoreFailure>(&result);
+    if (failure != nullptr && *failure != StoreFailure::HistoryGone) {
+        ++failures.failed;
+    } else if (failure == nullptr && std::get<State>(result).age > maxSourceAge) {
+        ++failures.stale;
+    } else {
+        failures = {};
+    }
 }
 
 StoreAccess StoreSharing::access()
@@ -311,14 +329,13 @@
 
 void StoreSharing::list(std::string_view prefix, std::string_view after, std::function<void(PageResult)> completion)
 {
-    auto counted = [this, completion = std::move(completion)](PageResult result) {
-        this->recordOutcome(std::holds_alternative<StoreFailure>(result));
+    auto counted = [this, listed = std::string(prefix), completion = std::move(completion)](PageResult result) {
+        this->recordOutcome(listed, result);
         completion(std::move(result));
     };
     // Only the store returns listings in pages, so the next page comes from the store. A listing that follows a watch
     // refused by a peer for lack of history goes to the same peer, since another one may be behind.
-    const std::optional<Member> peer = after.empty() ? this->source(prefix, false) : std::nullopt;
-    this->recordCall(prefix, peer);
+    const std::optional<Member> peer = after.empty() ? this->nextSource(prefix, false) : std::nullopt;
     if (peer.has_value()) {
         this->listAt(*peer, prefix, std::move(counted));
     } else {
@@ -331,13 +348,15 @@
                          Duration wait,
                          std::function<void(ChangesResult)> completion)
 {
-    auto counted = [this, completion = std::move(completion)](ChangesResult result) {
-        const auto *failure = std::get_if<StoreFailure>(&result);
-        this->recordOutcome(failure != nullptr && *failure != StoreFailure::HistoryGone);
+    auto counted = [this, watched = std::string(prefix), completion = std::move(completion)](ChangesResult result) {
+        this->recordOutcome(watched, result);
+        const auto *changes = std::get_if<StoreChanges>(&result);
+        if (changes != nullptr && changes->changes.empty() && changes->age > maxSourceAge) {
+            result = StoreFailure::PeerStale;
+        }
         completion(std::move(result));
     };
-    const std::optional<Member> peer = this->source(prefix, true);
-    this->recordCall(prefix, peer);
+    const std::optional<Member> peer = this->nextSource(prefix, true);
     if (!peer.has_value()) {
         this->store.watch(prefix, after, wait, std::move(counted));
         return;
--- a/src/hickoryshore/entry/store_sharing_test.cpp
+++ b/src/hickoryshore/entry/store_sharing_test.cpp
@@ -27,11 +27,11 @@
     return view;
 }
 
-std::set<std::string> sourcesOf(const MembershipView &view, int failures)
+std::set<std::string> sourcesOf(const MembershipView &view, int failures, int stale = 0)
 {
     std::set<std::string> sources;
     for (std::uint64_t random = 0; random < 100; ++random) {
-        const auto source = storeSource(view, failures, random);
+        const auto source = storeSource(view, {.failed = failures, .stale = stale}, random);
         sources.insert(source.has_value() ? source->vm.value : "store");
     }
     return sources;
@@ -96,6 +96,26 @@
     BOOST_TEST((sourcesOf(view, 2) == Names{"store"}));
 }
 
+// Guards against VMs that follow a reader which has lost the store although they could reach it.
+BOOST_AUTO_TEST_CASE(after_a_stale_answer_other_sources_and_then_the_store_are_used)
+{
+    const MembershipView view = makeFleet(9, "north-9");
+    BOOST_TEST((sourcesOf(view, 0, 1) == Names{"north-1", "north-2", "south-1", "south-2"}));
+    BOOST_TEST((sourcesOf(view, 0, 2) == Names{"store"}));
+    BOOST_TEST((sourcesOf(view, 1, 2) == Names{"north-1", "north-2", "south-1", "south-2"}));
+    BOOST_TEST((sourcesOf(makeFleet(9, "north-1"), 0, 1) == Names{"north-2", "south-1", "south-2"}));
+    BOOST_TEST((sourcesOf(makeFleet(9, "north-1"), 1, 1) == Names{"store"}));
+}
+
+BOOST_AUTO_TEST_CASE(in_a_large_fleet_fewer_stale_answers_lead_to_calls_of_the_store)
+{
+    int storeCalls = 0;
+    for (int stale = 1; stale <= 120; ++stale) {
+        storeCalls += sourcesOf(makeFleet(120, "north-100"), 0, stale).contains("store") ? 1 : 0;
+    }
+    BOOST_TEST(storeCalls == 4);
+}
+
 BOOST_AUTO_TEST_CASE(peers_that_reported_a_configuration_are_preferred)
 {
     MembershipView view = makeFleet(69, "north-30");
