State: count a store outage from the start of the last failed call

Cause: entries that disappear while the store is away may have expired, so a replica without an entry is kept for 2.5 s if there was an outage within 5 s. The outage was dated by the time at which a call failed: a call that is sent in an outage and times out 3 s later (before, up to 22 s) made an outage out of seconds in which the store answered. Keys that disappear together prolonged it further.

Change: a failed call dates an outage by its start; a mass expiry counts as an outage only if none is known; an outage counts for 4 s, the longest time until the call after a failed one is answered. The delay before a retry counts from the start of the failed call too, so a call that has timed out is repeated soon.

--- a/include/hickoryshore/statesync/prefix_follower.h
+++ b/include/hickoryshore/statesync/prefix_follower.h
@@ -126,9 +126,10 @@
 class PrefixFollower
 {
 public:
-    /// How long after a failure removed keys may be due to a store outage. Entries with a lease of three seconds expire
-    /// within this time, and live writers restore theirs within two seconds after the outage.
-    static constexpr Duration recentOutagePeriod = std::chrono::seconds(5);
+    /// How long removed keys may be due to a store outage, from the start of the last failed call. The call after it
+    /// has been answered by then, with the keys that expired in the outage. An entry that is removed later was
+    /// withdrawn.
+    static constexpr Duration recentOutagePeriod = std::chrono::seconds(4);
 
     /// Minimum time between the starts of two watches. Changes in quick succession are read together, because the store
     /// counts each call.
@@ -200,6 +201,7 @@
                     std::vector<FollowerAction> &actions);
     void recordOutage(Instant now, std::optional<Duration> ago);
     void recordConfirmation(Instant confirmedAt);
+    void recordRemovals(Instant now, std::size_t removed, std::size_t known);
     void backOff(Instant now);
     Duration randomDelay(Duration minDelay, Duration maxDelay);
 
@@ -215,10 +217,11 @@
     std::uint64_t recentChangesStart = 0; ///< recentChanges holds all changes after this number.
     int failures = 0; ///< Consecutive failures.
     Instant watchedAt; ///< When the last watch started.
+    Instant calledAt; ///< When the last call started.
     Instant relistedAt; ///< When a listing was last scheduled because the history was gone.
     std::optional<Instant> nextCallAt; ///< When the next call is due.
     std::optional<Instant> confirmedAt; ///< When the store last confirmed the current state.
-    std::optional<Instant> lastOutageAt; ///< When the store was last unavailable.
+    std::optional<Instant> lastOutageAt; ///< When the store was last known to be unavailable.
     std::minstd_rand random;
 };
 
--- a/src/hickoryshore/statesync/prefix_follower.cpp
+++ b/src/hickoryshore/statesync/prefix_follower.cpp
@@ -50,6 +50,7 @@
         this->nextCallAt = this->watchedAt + watchInterval;
         return;
     }
+    this->calledAt = now;
     if (!this->mustList) {
         this->watchedAt = now;
         this->watchedFrom = this->knownAsOf;
@@ -85,6 +86,14 @@
     }
 }
 
+/// Takes a mass expiry for an outage that no call of this VM has met.
+void PrefixFollower::recordRemovals(Instant now, std::size_t removed, std::size_t known)
+{
+    if (isMassExpiry(removed, known) && !this->hadRecentOutage(now)) {
+        this->lastOutageAt = now;
+    }
+}
+
 void PrefixFollower::recordConfirmation(Instant confirmedAt)
 {
     this->confirmedAt = std::max(this->confirmedAt.value_or(confirmedAt), confirmedAt);
@@ -153,9 +162,7 @@
     const auto vanished = std::ranges::count_if(before, [this](const auto &entry) {
         return !this->state.contains(entry.first);
     });
-    if (isMassExpiry(static_cast<std::size_t>(vanished), before.size())) {
-        this->lastOutageAt = now;
-    }
+    this->recordRemovals(now, static_cast<std::size_t>(vanished), before.size());
     actions.emplace_back(ApplyListing{
         .items = std::move(items), .recentStoreOutage = this->hadRecentOutage(now), .fromOlderCopy = fromOlderCopy});
     return true;
@@ -202,9 +209,8 @@
     const auto vanished = std::ranges::count_if(changes.changes, [this](const StoreChange &change) {
         return !change.value.has_value() && this->state.contains(change.key);
     });
-    const bool massExpiry = isMassExpiry(static_cast<std::size_t>(vanished), this->state.size());
     this->recordOutage(now, changes.timeSinceStoreOutage);
-    this->lastOutageAt = massExpiry ? now : this->lastOutageAt;
+    this->recordRemovals(now, static_cast<std::size_t>(vanished), this->state.size());
     for (StoreChange &change : changes.changes) {
         // While this watch was pending, a peer may have sent a newer state in which the key is already removed.
         const auto found = this->state.find(change.key);
@@ -243,7 +249,10 @@
         }
         return;
     }
-    this->lastOutageAt = failure == StoreFailure::Unavailable ? now : this->lastOutageAt;
+    if (failure == StoreFailure::Unavailable) {
+        // A call that timed out tells that the store was away when it was sent; it may have been back for seconds.
+        this->recordOutage(now, now - this->calledAt);
+    }
     if (this->reachable) {
         this->reachable = false;
         actions.emplace_back(StoreReachable{false});
@@ -251,12 +260,13 @@
     this->backOff(now);
 }
 
-/// Schedules the next call. The delay grows with each failed call.
+/// Schedules the next call. The delay grows with each failed call, and counts from the start of the last one.
 void PrefixFollower::backOff(Instant now)
 {
     const Duration longest = std::min(maxRetryDelay, firstRetryDelay * (1 << std::min(this->failures, maxDoublings)));
     ++this->failures;
-    this->nextCallAt = now + this->randomDelay(longest / 2, longest);
+    this->nextCallAt = std::max(this->calledAt + this->randomDelay(longest / 2, longest),
+                                now + this->randomDelay(firstRetryDelay / 2, firstRetryDelay));
 }
 
 Duration PrefixFollower::randomDelay(Duration minDelay, Duration maxDelay)
--- a/src/hickoryshore/statesync/prefix_follower_test.cpp
+++ b/src/hickoryshore/statesync/prefix_follower_test.cpp
@@ -149,6 +149,46 @@
     BOOST_TEST(this->take<ApplyChange>().at(0).recentStoreOutage);
 }
 
+// Guards against withdrawn replicas that stay in use, because calls that were sent in an outage timed out long after
+// it.
+BOOST_AUTO_TEST_CASE(an_outage_counts_from_the_start_of_the_last_failed_call)
+{
+    this->list(10);
+    const Instant timedOut = start + 3s;
+    this->follower.onFailure(timedOut, StoreFailure::Unavailable, this->actions);
+    // The delay before the next call has passed while this one timed out.
+    const Instant retry = this->follower.nextTimer().value();
+    BOOST_TEST((retry > timedOut && retry <= timedOut + 100ms));
+    this->follower.onTimer(retry, this->actions);
+    this->follower.onChanges(retry, {.changes = {{"a", std::nullopt, 12}}, .asOf = {0, 12}}, this->actions);
+    BOOST_TEST(this->take<ApplyChange>().at(0).recentStoreOutage);
+    const Instant later = start + PrefixFollower::recentOutagePeriod;
+    this->follower.onChanges(later, {.changes = {{"b", std::nullopt, 13}}, .asOf = {0, 13}}, this->actions);
+    BOOST_TEST(!this->take<ApplyChange>().at(0).recentStoreOutage);
+}
+
+BOOST_AUTO_TEST_CASE(a_mass_expiry_does_not_prolong_an_outage)
+{
+    std::vector<StoreItem> items;
+    std::vector<StoreChange> expired;
+    for (std::uint64_t number = 1; number <= 8; ++number) {
+        const std::string key = "k" + std::to_string(number);
+        items.push_back({key, "1", number});
+        if (number > 1) {
+            expired.push_back({key, std::nullopt, 10 + number});
+        }
+    }
+    this->follower.start(start, this->actions);
+    this->follower.onPage(start, {.items = items, .asOf = {0, 10}}, this->actions);
+    this->follower.onFailure(start + 3s, StoreFailure::Unavailable, this->actions);
+    this->follower.onTimer(start + 3500ms, this->actions);
+    this->follower.onChanges(start + 3500ms, {.changes = expired, .asOf = {0, 20}}, this->actions);
+    for (const ApplyChange &applied : this->take<ApplyChange>()) {
+        BOOST_TEST(applied.recentStoreOutage);
+    }
+    BOOST_TEST(!this->follower.hadRecentOutage(start + PrefixFollower::recentOutagePeriod));
+}
+
 BOOST_AUTO_TEST_CASE(a_peer_failure_is_not_a_store_outage)
 {
     // An unreachable peer does not indicate a store outage, so the entry of a replica that leaves afterwards was
