--- a/src/hickoryshore/entry/state_service.cpp
+++ b/src/hickoryshore/entry/state_service.cpp
@@ -53,6 +53,16 @@
     return failure == nullptr ? StoreFailure::Unavailable : *failure;
 }
 
+/// Returns whether a replica's name can be sent in a header field: visible ASCII characters, at least one.
+bool isSendableName(std::string_view name)
+{
+    constexpr char firstVisible = '!';
+    constexpr char lastVisible = '~';
+    return !name.empty() && std::ranges::all_of(name, [](char character) {
+        return character >= firstVisible && character <= lastVisible;
+    });
+}
+
 std::string ageText(std::optional<Duration> age)
 {
     return age.has_value() ? std::to_string(ceilMilliseconds(*age)) : std::string();
@@ -302,6 +312,9 @@
         return replica;
     }
     try {
+        if (!isSendableName(replica.name)) {
+            throw std::invalid_argument("the name cannot be sent in a header field");
+        }
         replica.record = this->protocol.parseReplica(text);
     } catch (const std::invalid_argument &error) {
         writeLog({.level = LogLevel::Warn,
--- a/src/hickoryshore/entry/state_service_test.cpp
+++ b/src/hickoryshore/entry/state_service_test.cpp
@@ -131,6 +131,18 @@
     BOOST_TEST(this->replicaCount == 2U);
 }
 
+// Guards against a registration whose name adds header fields to the requests that name it.
+BOOST_AUTO_TEST_CASE(a_registration_with_a_name_that_cannot_be_sent_is_ignored)
+{
+    this->replicas = {{"replicas/a", "s", 1},
+                      {"replicas/b\r\nX: y", "s", 2},
+                      {"replicas/c d", "s", 3},
+                      {"replicas/", "s", 4},
+                      {"replicas/\xc3\xa9", "s", 5}};
+    this->run();
+    BOOST_TEST(this->replicaCount == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(changes_missed_by_a_lost_watch_are_fetched_from_another_vm)
 {
     // The store answers listings but no watches. A peer has received the registration of one more replica.
