--- a/src/hickoryshore/entry/replica_faults_test.cpp
+++ b/src/hickoryshore/entry/replica_faults_test.cpp
@@ -324,6 +324,19 @@
     }
 }
 
+// Guards against a response that ends within its head and is passed on as a whole one without a body.
+BOOST_AUTO_TEST_CASE(a_response_cut_anywhere_in_its_head_is_a_failure)
+{
+    for (const Framing framing : {Framing::Length, Framing::Chunks, Framing::UntilClose}) {
+        const std::string whole = answerBytes(framing, "1", "12345678");
+        const std::size_t body = whole.find(endOfHeader) + endOfHeader.size();
+        for (std::size_t size = 0; size < body; ++size) {
+            BOOST_TEST_INFO("framing " << static_cast<int>(framing) << ", " << size << " bytes");
+            BOOST_TEST(statusOfBroken(whole.substr(0, size), false) == 502);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_body_delimited_by_a_close_is_complete_only_without_a_reset)
 {
     const std::string whole = answerBytes(Framing::UntilClose, "1", "12345678");
