Entry: a VM that leaves answers what it has taken, and refuses what comes late

Report of another operator: in a planned stop, requests that came late in the grace period were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated.

It happens here. The shutdown says when callers' last entry points have expired and late queries are to be refused, but the entry VM ignored that action, and a request kept its own deadline of up to 8 s beyond the exit 5.3 s after SIGTERM.

entry_vm_test on the code before: the replica gets a request that comes 4.2 s after the stop began, and neither it nor one sent before the stop is ever answered (arrivals 2 in place of 1, no answer).

Change: from the start of the stop the deadline of all requests ends 200 ms before the exit, so that a request gets its final answer, 504 if it may have run. Late requests are refused with 503 and come back to another VM after 100 ms. The case passes; entry_test and dispatch_test pass.

--- a/include/hickoryshore/dispatch/request_run.h
+++ b/include/hickoryshore/dispatch/request_run.h
@@ -124,6 +124,9 @@
     /// Returns when onTimer() must be called next, or std::nullopt if the run has ended.
     std::optional<Instant> nextTimer() const;
 
+    /// Moves the deadline forward to this time, if it is later. nextTimer() may then be earlier than before.
+    void limitDeadline(Instant latest);
+
     /// Drops all attempts after the caller left. Emits no answer.
     void abandon(std::vector<RunAction> &actions);
 
--- a/include/hickoryshore/entry/entry_settings.h
+++ b/include/hickoryshore/entry/entry_settings.h
@@ -12,6 +12,9 @@
 
 namespace hickoryshore {
 
+/// When a caller may retry if other VMs can serve it: its retry connects to one of them.
+inline constexpr Duration retryAfterAtOtherVm = std::chrono::milliseconds(100);
+
 /// Location, listen addresses and resource limits of the VM.
 struct EntrySettings
 {
--- a/include/hickoryshore/entry/request_service.h
+++ b/include/hickoryshore/entry/request_service.h
@@ -79,6 +79,12 @@
     void onRequest(HttpCallId call, const HttpServerRequest &request);
     void onClientLeft(HttpCallId call);
 
+    /// Gives all requests, those in flight and later ones, their final answer by this time.
+    void limitDeadlines(Instant latest);
+
+    /// Refuses all later requests of callers as "not run".
+    void refuseRequests();
+
     /// Serves a request of another VM for several parts; see aggregatePath.
     void onAggregateRequest(HttpCallId call, const HttpServerRequest &request);
     void onPeerLeft(HttpCallId call);
@@ -238,6 +244,8 @@
     std::uint64_t lastAttempt = 0;
     ExtraAttemptBudget extraAttempts;
     double fleetShare = 1.0;
+    Instant latestDeadline = Instant::max(); ///< No request is answered later.
+    bool refusing = false; ///< Whether callers' requests are refused, since this VM is leaving.
 };
 
 } // namespace hickoryshore
--- a/src/hickoryshore/dispatch/request_run.cpp
+++ b/src/hickoryshore/dispatch/request_run.cpp
@@ -365,6 +365,12 @@
     return next;
 }
 
+void RequestRun::limitDeadline(Instant latest)
+{
+    this->settings.deadline = std::min(this->settings.deadline, latest);
+    this->settings.softDeadline = std::min(this->settings.softDeadline, latest);
+}
+
 void RequestRun::finishIfDue(Instant now, std::vector<RunAction> &actions)
 {
     if (this->ended) {
--- a/src/hickoryshore/entry/entry_vm.cpp
+++ b/src/hickoryshore/entry/entry_vm.cpp
@@ -26,6 +26,8 @@
 /// Part of the grace period that is reserved for the exit, so that the process ends before it is killed.
 constexpr Duration exitMargin = 700ms;
 constexpr Duration shutdownCheckInterval = 50ms;
+/// Time for the last answers to reach their callers before the exit.
+constexpr Duration lastAnswersTime = 200ms;
 /// Upper bound of this VM's share of connections and extra attempts until the size of the fleet is known.
 constexpr double initialShare = 1.0 / 24;
 constexpr Duration fleetDiscoveryTime = 5s;
@@ -373,6 +375,7 @@
     this->shutdown.shardsHandedOver();
     this->membership->leave();
     this->callers.closeAfterAnswers();
+    this->requests.limitDeadlines(monotonicNow() + shutdownSettings(this->settings).maxShutdownTime - lastAnswersTime);
     this->loop.every(shutdownCheckInterval, [this] {
         this->advanceShutdown();
     });
@@ -392,7 +395,9 @@
     std::vector<ShutdownAction> actions;
     this->shutdown.onTimer(monotonicNow(), this->callers.busyConnections(), actions);
     for (const ShutdownAction &action : actions) {
-        if (const auto *exit = std::get_if<ExitAction>(&action)) {
+        if (std::holds_alternative<RefuseQueriesAction>(action)) {
+            this->requests.refuseRequests();
+        } else if (const auto *exit = std::get_if<ExitAction>(&action)) {
             writeLog({.level = exit->cut > 0 ? LogLevel::Error : LogLevel::Info,
                       .slice = slice,
                       .event = "stopped",
--- a/src/hickoryshore/entry/request_service.cpp
+++ b/src/hickoryshore/entry/request_service.cpp
@@ -159,6 +159,9 @@
 
 std::optional<ResultCode> RequestService::refusalCode(const Route *route, const HttpServerRequest &request) const
 {
+    if (this->refusing) {
+        return ResultCode::Leaving;
+    }
     if (!this->routes.has_value()) {
         return ResultCode::NoConfiguration;
     }
@@ -195,7 +198,22 @@
               .fields = {{"host", std::string(findHeader(request.headers, "Host").value_or(""))},
                          {"path", std::string(pathOf(request.target))},
                          {"version", std::to_string(this->routes.has_value() ? this->routes->table().version : 0)}}});
-    this->hooks.answer(call, this->refusalAnswer(id, code, this->hooks.retryAfter()));
+    const Duration retryAfter = code == ResultCode::Leaving ? retryAfterAtOtherVm : this->hooks.retryAfter();
+    this->hooks.answer(call, this->refusalAnswer(id, code, retryAfter));
+}
+
+void RequestService::refuseRequests()
+{
+    this->refusing = true;
+}
+
+void RequestService::limitDeadlines(Instant latest)
+{
+    this->latestDeadline = latest;
+    for (auto &[id, request] : this->active) {
+        request.run->limitDeadline(latest);
+        this->armTimer(id, request);
+    }
 }
 
 std::shared_ptr<RouteLatency> RequestService::latencyOf(const Route &route)
@@ -282,6 +300,7 @@
 void RequestService::start(RunId id, ActiveRequest &started, RunSettings run)
 {
     started.run = std::make_unique<RequestRun>(std::move(run), this->table, *started.latency, this->lastAttempt);
+    started.run->limitDeadline(this->latestDeadline);
     std::vector<RunAction> actions;
     started.run->start(monotonicNow(), actions);
     this->perform(id, actions);
--- a/src/hickoryshore/entry/state_service.cpp
+++ b/src/hickoryshore/entry/state_service.cpp
@@ -1,6 +1,7 @@
 #include "hickoryshore/entry/state_service.h"
 
 #include "hickoryshore/clock/clock.h"
+#include "hickoryshore/entry/entry_settings.h"
 #include "hickoryshore/log/log.h"
 
 #include <algorithm>
@@ -33,8 +34,6 @@
 constexpr Duration freshnessCheckInterval = 2s;
 /// Maximum number of changes of one batch that are logged individually.
 constexpr std::size_t maxLoggedChanges = 8;
-/// When to retry if other VMs can serve the caller: its retry connects to one of them.
-constexpr Duration retryAfterAtOtherVm = 100ms;
 /// When to retry if no other VM can. Live replicas register again within two seconds of the store's return, and callers
 /// with less time left retry earlier.
 constexpr Duration retryAfterDefault = 1s;
