State: an outage of the store is a gap in what it confirms, not a failed call

Cause: a replica whose entry disappears is kept for 2.5 s if the store was away shortly before. A withdrawn replica was then kept for 2.5 s after it was heard of, which with two waits of 0.3 s and a check each 250 ms is more than 3 s after its withdrawal.

Change: VMs know by the age of their state whether the store confirms it to anybody. An outage is a gap of more than 3 s in that, and is over at its end; for 2 s after it removals may be expiries. Failed calls no longer count. Keys that vanish together still count, for outages that are shorter.

--- a/include/hickoryshore/statesync/prefix_follower.h
+++ b/include/hickoryshore/statesync/prefix_follower.h
@@ -78,7 +78,7 @@
 /// Why a call to the store, or to a peer that follows it, failed.
 enum class StoreFailure {
     Unavailable, ///< The store did not answer.
-    PeerUnavailable, ///< A peer did not answer; this does not indicate a store outage.
+    PeerUnavailable, ///< A peer did not answer.
     PeerStale, ///< A peer told no changes, but the store has not confirmed its state for long.
     HistoryGone, ///< The changes since the given revision are no longer available.
 };
@@ -126,10 +126,13 @@
 class PrefixFollower
 {
 public:
-    /// How long removed keys may be due to a store outage, from the start of the last failed call. The call after it
-    /// has been answered by then, with the keys that expired in the outage. An entry that is removed later was
-    /// withdrawn.
-    static constexpr Duration recentOutagePeriod = std::chrono::seconds(4);
+    /// If the store confirms nothing for longer than this, to any VM that this one hears of, it counts as having been
+    /// away. Longer than a watch with its answer. Leases of three seconds expire in an outage of this length.
+    static constexpr Duration minOutage = std::chrono::seconds(3);
+
+    /// How long removed keys may be due to a store outage, from its end. The keys that expired in it come with the
+    /// first answer, and live writers restore theirs within two seconds. A key that is removed later was withdrawn.
+    static constexpr Duration recentOutagePeriod = std::chrono::seconds(2);
 
     /// Minimum time between the starts of two watches. Changes in quick succession are read together, because the store
     /// counts each call.
@@ -198,6 +201,7 @@
     bool applyState(Instant now,
                     std::vector<StoreItem> items,
                     const StoreRevision &asOf,
+                    Instant stateConfirmedAt,
                     std::vector<FollowerAction> &actions);
     void recordOutage(Instant now, std::optional<Duration> ago);
     void recordConfirmation(Instant confirmedAt);
@@ -221,7 +225,7 @@
     Instant relistedAt; ///< When a listing was last scheduled because the history was gone.
     std::optional<Instant> nextCallAt; ///< When the next call is due.
     std::optional<Instant> confirmedAt; ///< When the store last confirmed the current state.
-    std::optional<Instant> lastOutageAt; ///< When the store was last known to be unavailable.
+    std::optional<Instant> lastOutageAt; ///< When the last outage was over, as far as known.
     std::minstd_rand random;
 };
 
--- a/src/hickoryshore/statesync/prefix_follower.cpp
+++ b/src/hickoryshore/statesync/prefix_follower.cpp
@@ -86,7 +86,7 @@
     }
 }
 
-/// Takes a mass expiry for an outage that no call of this VM has met.
+/// Counts a mass expiry as an outage that was too short to be noticed otherwise.
 void PrefixFollower::recordRemovals(Instant now, std::size_t removed, std::size_t known)
 {
     if (isMassExpiry(removed, known) && !this->hadRecentOutage(now)) {
@@ -94,8 +94,13 @@
     }
 }
 
+/// Records that the store confirmed the state at this time. A call of this VM alone that fails is no outage: the store
+/// may turn single VMs away, and writers renew their keys meanwhile.
 void PrefixFollower::recordConfirmation(Instant confirmedAt)
 {
+    if (this->confirmedAt.has_value() && confirmedAt - *this->confirmedAt > minOutage) {
+        this->lastOutageAt = std::max(this->lastOutageAt.value_or(confirmedAt), confirmedAt);
+    }
     this->confirmedAt = std::max(this->confirmedAt.value_or(confirmedAt), confirmedAt);
 }
 
@@ -125,14 +130,13 @@
     this->listedAsOf = this->listedItems.empty() ? page.asOf : std::min(this->listedAsOf, page.asOf);
     std::ranges::move(page.items, std::back_inserter(this->listedItems));
     if (!page.hasMore || page.items.empty()) {
-        if (!this->applyState(now, std::exchange(this->listedItems, {}), this->listedAsOf, actions)) {
+        if (!this->applyState(now, std::exchange(this->listedItems, {}), this->listedAsOf, this->listedAt, actions)) {
             // The next watch would fail with HistoryGone and lead to another listing.
             this->backOff(now);
             return;
         }
         this->failures = 0;
         this->mustList = false;
-        this->recordConfirmation(this->listedAt);
     }
     this->scheduleNextCall(now, actions);
 }
@@ -141,6 +145,7 @@
 bool PrefixFollower::applyState(Instant now,
                                 std::vector<StoreItem> items,
                                 const StoreRevision &asOf,
+                                Instant stateConfirmedAt,
                                 std::vector<FollowerAction> &actions)
 {
     if (asOf < this->knownAsOf) {
@@ -152,6 +157,7 @@
     if (fromOlderCopy) {
         this->confirmedAt.reset();
     }
+    this->recordConfirmation(stateConfirmedAt);
     this->knownAsOf = asOf;
     this->recentChanges.clear();
     this->recentChangesStart = asOf.number;
@@ -249,10 +255,6 @@
         }
         return;
     }
-    if (failure == StoreFailure::Unavailable) {
-        // A call that timed out tells that the store was away when it was sent; it may have been back for seconds.
-        this->recordOutage(now, now - this->calledAt);
-    }
     if (this->reachable) {
         this->reachable = false;
         actions.emplace_back(StoreReachable{false});
@@ -283,13 +285,14 @@
     const Instant stateConfirmedAt = now - state.age;
     if (state.asOf > this->knownAsOf) {
         this->recordOutage(now, state.timeSinceStoreOutage);
-        this->applyState(now, std::move(state.items), state.asOf, actions);
+        this->applyState(now, std::move(state.items), state.asOf, stateConfirmedAt, actions);
         // The pending listing is no longer needed.
         this->mustList = false;
         this->listedItems.clear();
+    } else {
+        // Where this VM's state is newer than the peer's, it holds all that the store held at that time.
+        this->recordConfirmation(stateConfirmedAt);
     }
-    // Where this VM's state is newer than the peer's, it holds all that the store held at that time.
-    this->recordConfirmation(stateConfirmedAt);
 }
 
 void PrefixFollower::onTimer(Instant now, std::vector<FollowerAction> &actions)
