--- a/review/stand_ins/replica.cpp
+++ b/review/stand_ins/replica.cpp
@@ -28,7 +28,8 @@
         const auto last = this->lastRefusals.find(&connection);
         if (last != this->lastRefusals.end()) {
             const auto &[refused, answer] = last->second;
-            extra = this->hooks.sendsExtraCopy(refused, request) ? answer : std::string();
+            const bool hasRoom = this->running < this->entry.slots || this->waiting < this->queue;
+            extra = hasRoom && this->hooks.sendsExtraCopy(refused, request) ? answer : std::string();
             this->lastRefusals.erase(last);
         }
     }
--- a/review/stand_ins/replica.h
+++ b/review/stand_ins/replica.h
@@ -28,7 +28,7 @@
     std::function<void(const Message &, int status)> onRefused;
 
     /// Whether an extra copy of a refusal is sent late, where the answer to the next request on the connection is
-    /// expected. May be empty.
+    /// expected. Asked if the replica has room for that request. May be empty.
     std::function<bool(const Message &refused, const Message &next)> sendsExtraCopy;
 };
 
