--- a/review/1/main.cpp
+++ b/review/1/main.cpp
@@ -177,6 +177,7 @@
             break;
         }
     }
+    this->losing = false;
     std::this_thread::sleep_until(crashedAt + entryLapse);
     this->store.remove("servers/i-1");
     this->record.say("the entry of i-1 has lapsed");
--- a/review/2/main.cpp
+++ b/review/2/main.cpp
@@ -15,14 +15,22 @@
 constexpr int exitBroken = 1;
 constexpr int exitNotRun = 2;
 constexpr int queueLength = 8;
-constexpr int charges = 90;
-constexpr Milliseconds chargeInterval{500};
+constexpr Milliseconds chargeInterval{250};
+/// One after another sends charges by way of the first VMs, as many at each.
+constexpr std::size_t chargingVms = 2;
+constexpr std::size_t chargersOfVm = 2;
+/// In each round there are extra copies for garbleTime, and more clients for burstTime in it.
+constexpr int rounds = 8;
+constexpr Milliseconds garbleTime{5000};
+constexpr Milliseconds burstTime{3000};
+constexpr Milliseconds calmTime{5000};
 /// A client of the other route waits for up to this long before its next request.
 constexpr int mostThinkMs = 100;
 constexpr int clientsBefore = 16;
-constexpr int clientsInBurst = 24;
+constexpr int clientsInBurst = 27;
 constexpr Milliseconds clientTimeout{3500};
-/// A replica sends an extra copy of at most this share of its answers.
+/// The one of the two replicas that sends extra copies, of at most this share of its answers in that time.
+constexpr const char *garblingReplica = "i-1";
 constexpr double extraShare = 0.04;
 
 constexpr const char *configuration
@@ -54,6 +62,9 @@
     std::mutex mutex;
     std::map<std::string, int> runs; ///< Of charges, by request id.
     int answers = 0; ///< Of all replicas.
+    bool garbling = false;
+    int answersInRound = 0; ///< Of the garbling replica, while it garbles.
+    int extrasInRound = 0;
     std::set<std::string> extras; ///< Ids of charges of which a refusal was sent twice.
     int fetches = 0;
 };
@@ -71,7 +82,9 @@
     RunOutcome onRun(const std::string &replica, const Message &request);
     bool sendsExtraCopy(const std::string &replica, const Message &refused, const Message &next);
     void fetchAgainAndAgain(int client);
-    void charge(std::size_t place);
+    void charge(std::size_t charger);
+    void countAnswer(const std::string &replica);
+    void setGarbling(bool garbling);
     bool judge();
 
     Record record;
@@ -81,6 +94,7 @@
     std::vector<std::unique_ptr<Replica>> replicas;
     Fleet fleet;
     std::atomic<bool> stopping = false;
+    std::atomic<bool> bursting = false;
     std::map<std::string, int> statuses; ///< Of the answers to charges.
 };
 
@@ -114,7 +128,7 @@
                        .onRefused =
                            [this, id = entry.id](const Message &request, int status) {
                                const std::lock_guard lock(this->seen.mutex);
-                               ++this->seen.answers;
+                               this->countAnswer(id);
                                if (isCharge(request)) {
                                    this->record.say("replica " + id + " is full and refuses "
                                                     + request.header("Request-Id") + " with " + std::to_string(status));
@@ -131,7 +145,7 @@
 RunOutcome Case::onRun(const std::string &replica, const Message &request)
 {
     const std::lock_guard lock(this->seen.mutex);
-    ++this->seen.answers;
+    this->countAnswer(replica);
     if (isCharge(request)) {
         ++this->seen.runs[request.header("Request-Id")];
         this->record.say("replica " + replica + " runs " + request.header("Request-Id"));
@@ -141,16 +155,38 @@
     return {};
 }
 
+/// The caller holds the lock.
+void Case::countAnswer(const std::string &replica)
+{
+    ++this->seen.answers;
+    this->seen.answersInRound += this->seen.garbling && replica == garblingReplica ? 1 : 0;
+}
+
+void Case::setGarbling(bool garbling)
+{
+    const std::lock_guard lock(this->seen.mutex);
+    if (!garbling) {
+        this->record.say(std::to_string(this->seen.extrasInRound) + " extra copies beside "
+                         + std::to_string(this->seen.answersInRound) + " answers of " + garblingReplica
+                         + " in this round");
+    }
+    this->seen.garbling = garbling;
+    this->seen.answersInRound = 0;
+    this->seen.extrasInRound = 0;
+}
+
 /// The share bounds how many extra copies there are. Which answers have one, and when it comes, is luck; here it is
 /// refusals of charges that are sent again on the connection.
 bool Case::sendsExtraCopy(const std::string &replica, const Message &refused, const Message &next)
 {
     const std::lock_guard lock(this->seen.mutex);
-    if (!withTrouble() || !isCharge(refused) || refused.header("Request-Id") != next.header("Request-Id")
-        || static_cast<double>(this->seen.extras.size() + 1) > extraShare * this->seen.answers
+    if (!withTrouble() || !this->seen.garbling || replica != garblingReplica || !isCharge(refused)
+        || refused.header("Request-Id") != next.header("Request-Id")
+        || this->seen.extrasInRound + 1 > extraShare * this->seen.answersInRound
         || !this->seen.extras.insert(refused.header("Request-Id")).second) {
         return false;
     }
+    ++this->seen.extrasInRound;
     this->record.say("replica " + replica + " sends its refusal of " + refused.header("Request-Id")
                      + " once more, where the answer to " + next.header("Request-Id") + " is expected");
     return true;
@@ -161,6 +197,10 @@
     const Vm &vm = this->fleet.vms.back();
     std::mt19937 random(static_cast<unsigned>(client + 1));
     for (int number = 0; !this->stopping; ++number) {
+        if (client >= clientsBefore && !this->bursting) {
+            std::this_thread::sleep_for(Milliseconds(1));
+            continue;
+        }
         std::string id = "fe";
         id.append(std::to_string(client)).append("x").append(std::to_string(number));
         call(vm.front, requestText("GET", "/fetch/1", id, ""), clientTimeout);
@@ -168,15 +208,15 @@
     }
 }
 
-/// Charges by way of one VM, one after the other.
-void Case::charge(std::size_t place)
+/// Sends charges by way of one VM, one after the other.
+void Case::charge(std::size_t charger)
 {
-    for (int number = 0; number < charges; ++number) {
+    const Vm &vm = this->fleet.vms[charger % chargingVms];
+    for (int number = 0; !this->stopping; ++number) {
         std::string id = "c0ffee";
-        id.append(std::to_string(place)).append("x").append(std::to_string(number));
+        id.append(std::to_string(charger)).append("x").append(std::to_string(number));
         this->record.say(id + " is sent");
-        const Answer answer
-            = call(this->fleet.vms[place].front, requestText("POST", "/charge/7", id, "bottle"), clientTimeout);
+        const Answer answer = call(vm.front, requestText("POST", "/charge/7", id, "bottle"), clientTimeout);
         this->record.say(id + " was answered " + (answer.whole ? std::to_string(answer.status) : "nothing"));
         {
             const std::lock_guard lock(this->seen.mutex);
@@ -215,22 +255,28 @@
     }
     std::this_thread::sleep_for(Milliseconds(6000));
     std::vector<std::thread> clients;
-    for (int client = 0; client < clientsBefore; ++client) {
+    for (int client = 0; client < clientsInBurst; ++client) {
         clients.emplace_back([this, client] {
             this->fetchAgainAndAgain(client);
         });
     }
-    std::this_thread::sleep_for(Milliseconds(2000));
-    for (int client = clientsBefore; client < clientsInBurst; ++client) {
-        clients.emplace_back([this, client] {
-            this->fetchAgainAndAgain(client);
+    for (std::size_t charger = 0; charger < chargingVms * chargersOfVm; ++charger) {
+        clients.emplace_back([this, charger] {
+            this->charge(charger);
         });
     }
-    std::thread other([this] {
-        this->charge(1);
-    });
-    this->charge(0);
-    other.join();
+    for (int round = 0; round < rounds; ++round) {
+        std::this_thread::sleep_for(calmTime);
+        this->record.say("a replica sends extra copies from now on");
+        this->setGarbling(true);
+        std::this_thread::sleep_for((garbleTime - burstTime) / 2);
+        this->record.say("more clients come");
+        this->bursting = true;
+        std::this_thread::sleep_for(burstTime);
+        this->bursting = false;
+        std::this_thread::sleep_for((garbleTime - burstTime) / 2);
+        this->setGarbling(false);
+    }
     this->stopping = true;
     for (std::thread &client : clients) {
         client.join();
