Dispatch: only a replica's own failure describes the failure of a request

Cause: RequestRun kept the last attempt with any reply as the one that describes the failure, and answerOf() forwarded its reply. The rejection of a first attempt, at a reused address, was forwarded after a second attempt whose answer was lost or still out at the deadline. Replies with the header for "not run" were kept back; a 421 has none.

Ruled out: a retry after an attempt that may have run, and a 421 of the replica that ran the request. The answered line has the result connectionLost beside status 421, so the run had ended as it should.

Change: only a reply with which a replica reports a failure of its own is kept (upstreamError). Attempts that did not run say nothing of the others, and a reply that may belong to another request (a 421 without the id) says nothing.

--- a/include/hickoryshore/dispatch/request_run.h
+++ b/include/hickoryshore/dispatch/request_run.h
@@ -95,7 +95,8 @@
     ResultCode code = ResultCode::Ok; ///< Ok, PartialAnswer, or why there is no answer.
     std::vector<AttemptId> answered; ///< The attempts whose replies form the answer, in the order of the services.
     std::vector<MissedPart> missed;
-    std::optional<AttemptId> failureReply; ///< If there is no answer, the attempt whose reply describes the failure.
+    std::optional<AttemptId> failureReply; ///< If there is no answer, the last attempt whose replica replied that it
+                                           ///< failed. Empty if no replica did.
     bool sent = false; ///< Whether any replica can have received a part.
     Duration retryAfter{0}; ///< When to retry; set if no replica ran a part.
 };
--- a/src/hickoryshore/dispatch/request_run.cpp
+++ b/src/hickoryshore/dispatch/request_run.cpp
@@ -253,7 +253,11 @@
     if (end.code == ResultCode::Ok) {
         this->acceptResult(part, attempt, actions);
     } else {
-        part.failureReply = isReply ? attempt : part.failureReply;
+        // Other replies don't tell what became of the request: the replica did not run it, or the reply may belong to
+        // another request.
+        if (isReply && end.code == ResultCode::UpstreamError) {
+            part.failureReply = attempt;
+        }
         this->handleFailure(now, partIndex, end.sent, actions);
     }
     this->finishIfDue(now, actions);
--- a/src/hickoryshore/dispatch/request_run_test.cpp
+++ b/src/hickoryshore/dispatch/request_run_test.cpp
@@ -199,6 +199,45 @@
     BOOST_TEST((finished.at(0).failureReply == again.front().attempt));
 }
 
+// Guards against a caller that is told "not run" about a request that has run: the rejection of the first attempt says
+// nothing about the second one, which may have run.
+BOOST_AUTO_TEST_CASE(the_reply_to_an_attempt_that_did_not_run_does_not_describe_the_failure)
+{
+    for (const ResultCode rejection : {ResultCode::UpstreamDraining, ResultCode::UpstreamShed}) {
+        for (const ResultCode last : {ResultCode::ConnectionLost, ResultCode::UpstreamGarbage}) {
+            this->serve(1);
+            RequestRun run = this->run(1, chargeRun);
+            run.start(start, this->actions);
+            const auto first = this->take<SendAttempt>();
+            run.onAttemptEnd(start, first.at(0).attempt, {.code = rejection}, true, this->actions);
+            const auto second = this->take<SendAttempt>();
+            BOOST_REQUIRE(second.size() == 1);
+            const bool isReply = last == ResultCode::UpstreamGarbage;
+            run.onAttemptEnd(start + 60ms, second.at(0).attempt, {.code = last}, isReply, this->actions);
+            const auto finished = this->take<FinishRun>();
+            BOOST_REQUIRE(finished.size() == 1);
+            BOOST_TEST((finished.front().code == last));
+            BOOST_TEST(!finished.front().failureReply.has_value());
+        }
+    }
+}
+
+// The same if the second attempt is still in flight when the deadline passes.
+BOOST_AUTO_TEST_CASE(the_reply_to_a_rejected_attempt_does_not_describe_a_passed_deadline)
+{
+    this->serve(1);
+    RequestRun run = this->run(1, chargeRun);
+    run.start(start, this->actions);
+    const auto first = this->take<SendAttempt>();
+    run.onAttemptEnd(start, first.at(0).attempt, {.code = ResultCode::UpstreamDraining}, true, this->actions);
+    BOOST_REQUIRE(this->take<SendAttempt>().size() == 1);
+    run.onTimer(start + 1s, this->actions);
+    const auto finished = this->take<FinishRun>();
+    BOOST_REQUIRE(finished.size() == 1);
+    BOOST_TEST((finished.front().code == ResultCode::DeadlineExceeded));
+    BOOST_TEST(!finished.front().failureReply.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_part_refused_by_all_replicas_is_retried_later)
 {
     this->serve(1);
--- a/src/hickoryshore/entry/replica_faults_test.cpp
+++ b/src/hickoryshore/entry/replica_faults_test.cpp
@@ -292,6 +292,39 @@
     }
 }
 
+// Guards against a caller that is told "not run" about a request that has run: the first attempt is rejected by another
+// replica at a reused address, and the second one runs, but its answer is lost.
+BOOST_AUTO_TEST_CASE(a_rejection_is_not_forwarded_after_an_attempt_that_may_have_run)
+{
+    for (const bool answersGarbage : {false, true}) {
+        RawEntry entry;
+        int rejected = 0;
+        int ran = 0;
+        entry.addReplica("s", [&rejected](HttpListener &listener, HttpCallId call, const HttpServerRequest &request) {
+            ++rejected;
+            listener.answer(call, {.status = 421, .headers = {requestIdHeader(request)}});
+        });
+        entry.serve(
+            [&](int connection, const std::string &) {
+                ++ran;
+                if (answersGarbage) {
+                    // Without the request id, the response may belong to an earlier request.
+                    entry.replica->write(connection, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+                } else {
+                    entry.replica->end(connection, true);
+                }
+            },
+            false);
+        ReplicaRecord cold = entry.registry.replicas().at("raw").record;
+        cold.warmUpLeft = 10s; // Makes the other replica get the first attempt.
+        entry.registry.put(monotonicNow(), "raw", cold);
+        entry.service.setReplicas(entry.registry);
+        BOOST_TEST(entry.callEach(1, 0ms, "POST").front().status == 502);
+        BOOST_TEST(rejected == 1);
+        BOOST_TEST(ran == 1);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_second_copy_of_an_answer_reaches_no_other_caller)
 {
     for (const Framing framing : {Framing::Length, Framing::Chunks}) {
--- a/src/hickoryshore/entry/request_answers.cpp
+++ b/src/hickoryshore/entry/request_answers.cpp
@@ -3,7 +3,6 @@
 #include "hickoryshore/dispatch/record_merge.h"
 #include "hickoryshore/entry/request_service.h"
 #include "hickoryshore/log/log.h"
-#include "hickoryshore/shard/retry_policy.h"
 
 #include <algorithm>
 #include <span>
@@ -66,12 +65,10 @@
     if (answered) {
         return this->forwardedAnswer(request.replies.at(outcome.answered.front()));
     }
-    // A replica's failure response is forwarded unchanged unless the replica did not run the request: other attempts
-    // may have run it, and the response of a misdirected request is meant for this VM only.
-    if (request.route->shards.empty() && outcome.failureReply.has_value() && !certainlyNotRun(outcome.code)) {
+    // A replica's failure response is forwarded unchanged. A success without a signature is no answer.
+    if (request.route->shards.empty() && outcome.failureReply.has_value()) {
         const UpstreamHttpResponse &reply = request.replies.at(*outcome.failureReply);
-        const bool reportsNotRun = findHeader(reply.headers, this->protocol.headers.notExecuted).has_value();
-        if (!reportsNotRun && reply.status / 100 != 2) {
+        if (reply.status / 100 != 2) {
             return this->forwardedAnswer(reply);
         }
     }
