Upstream: a request is sent at most once over each connection

Cause: a refused request is sent again with the same id. Over the connection on which the refusal came, a late copy of the refusal has the awaited id and counts as the answer to the second attempt: "not run", while the replica runs it.

Ruled out: a retry after an attempt that may have run; the run decided rightly on what it was told.

Change: the end of an exchange names its connection, a request keeps those on which it was answered, and HttpConnections takes none of them for it. If only such connections are idle and the limit allows no other, an idle one is closed to make room, so that no request waits while a connection is free. Two gauges count foreign answers and connections closed for this. Closing each connection after a refusal was not done: full replicas would get new connections.

--- a/include/hickoryshore/entry/request_service.h
+++ b/include/hickoryshore/entry/request_service.h
@@ -145,6 +145,7 @@
         std::shared_ptr<RouteLatency> latency;
         std::unique_ptr<RequestRun> run;
         std::unordered_map<AttemptId, UpstreamHttpResponse> replies;
+        std::vector<HttpConnectionId> replyConnections; ///< The connections on which the replies came.
         std::vector<ActiveGroup> groups; ///< In the same order as the run's groups.
         Instant timerAt = Instant::max();
         int attempts = 0;
--- a/include/hickoryshore/upstream/http_connections.h
+++ b/include/hickoryshore/upstream/http_connections.h
@@ -45,9 +45,14 @@
     std::uint64_t closedAsSilent = 0;
     std::uint64_t closedAsSuspect = 0;
     std::uint64_t closedAsTooLong = 0; ///< Since all responses together took too much memory.
+    std::uint64_t closedForRepeats = 0; ///< To open another one for an exchange that excludes all idle ones.
+    std::uint64_t foreignResponses = 0; ///< Responses that belong to another request.
     int open = 0;
 };
 
+/// Identifies a connection of one pool.
+using HttpConnectionId = NumberId<struct HttpConnectionTag>;
+
 /// What an exchange came to.
 struct HttpExchangeEnd
 {
@@ -56,6 +61,7 @@
     bool dropped = false; ///< By dropWaiting().
     bool withdrawn = false; ///< makeRequest made none: nothing was sent.
     UpstreamHttpResponse response; ///< Where there is no failure.
+    HttpConnectionId connection; ///< The connection on which the response came.
 };
 
 /// Identifies an exchange of one pool.
@@ -84,6 +90,10 @@
 
     /// A response that does not belong is passed over, and the next one awaited, rather than handed to onEnd.
     bool skipsForeign = false;
+
+    /// Connections that must not carry it: the same request was answered there before, and `belongs` can't tell a late
+    /// copy of that response from the response to this exchange.
+    std::vector<HttpConnectionId> excluded;
 };
 
 /// All connections of one pool. Used on its loop's thread only, but for counts().
@@ -162,11 +172,14 @@
         std::atomic<std::uint64_t> closedAsSilent = 0;
         std::atomic<std::uint64_t> closedAsSuspect = 0;
         std::atomic<std::uint64_t> closedAsTooLong = 0;
+        std::atomic<std::uint64_t> closedForRepeats = 0;
+        std::atomic<std::uint64_t> foreignResponses = 0;
         std::atomic<int> open = 0;
     };
 
     Server &serverOf(std::string_view server);
-    std::optional<Id> takeIdle(Server &server, bool proven);
+    std::optional<Id> takeIdle(Server &server, const HttpExchange &exchange);
+    std::optional<Id> takeOrOpen(Server &server, const HttpExchange &exchange, Instant deadline);
     std::optional<Id> open(Server &server, Instant deadline);
     void keepSpare(Server &server);
     void use(Id id, Id exchangeId, HttpExchange exchange, Instant deadline);
--- a/src/hickoryshore/entry/entry_fixture.h
+++ b/src/hickoryshore/entry/entry_fixture.h
@@ -110,7 +110,7 @@
         this->service.setReplicas(this->registry);
     }
 
-    void addRoute(Route route)
+    void addRoute(Route route, std::vector<ServiceLimits> limits = {})
     {
         route.name = {"r"};
         route.host = "h";
@@ -118,8 +118,8 @@
         route.timeout = 2s;
         route.latencyObjective = 1s;
         route.maximumAttempts = 2;
-        this->service.setRouteTable(
-            std::make_shared<const RouteTable>(RouteTable{.version = 1, .routes = {std::move(route)}}));
+        this->service.setRouteTable(std::make_shared<const RouteTable>(
+            RouteTable{.version = 1, .routes = {std::move(route)}, .services = std::move(limits)}));
     }
 
     HttpExchangeId start(std::string_view text, std::function<void(const HttpExchangeEnd &)> onEnd)
--- a/src/hickoryshore/entry/replica_faults_test.cpp
+++ b/src/hickoryshore/entry/replica_faults_test.cpp
@@ -143,9 +143,9 @@
 {
     std::optional<RawReplica> replica;
 
-    void serve(RawReplica::Handler handler, bool idempotent)
+    void serve(RawReplica::Handler handler, bool idempotent, std::vector<ServiceLimits> limits = {})
     {
-        this->addRoute({.idempotent = idempotent, .split = {{{"s"}, 1.0}}});
+        this->addRoute({.idempotent = idempotent, .split = {{{"s"}, 1.0}}}, std::move(limits));
         this->replica.emplace(this->loop, std::move(handler));
         this->registry.put(
             monotonicNow(),
@@ -325,6 +325,50 @@
     }
 }
 
+// Guards against a request that runs twice, or is answered "not run" though it runs: a late copy of a refusal has the
+// id of the refused request, so it looks like the answer to the same request, sent again over the same connection.
+BOOST_AUTO_TEST_CASE(a_late_copy_of_a_refusal_does_not_answer_the_next_attempt)
+{
+    for (const bool idempotent : {false, true}) {
+        // With a limit of one connection, the next attempt can't be sent over another one beside it.
+        for (const bool limited : {false, true}) {
+            BOOST_TEST_INFO("idempotent " << idempotent << ", limited " << limited);
+            RawEntry entry;
+            int ran = 0;
+            int refusedOn = -1;
+            int acceptedAtRefusal = 0;
+            entry.serve(
+                [&](int connection, const std::string &id) {
+                    const std::string refusal
+                        = "HTTP/1.1 503 Full\r\nId: " + id + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+                    if (refusedOn < 0) {
+                        refusedOn = connection;
+                        acceptedAtRefusal = entry.replica->accepted;
+                        entry.replica->write(connection, refusal);
+                        return;
+                    }
+                    ++ran;
+                    // A new connection may have the descriptor of the first one.
+                    const bool isReused = connection == refusedOn && entry.replica->accepted > acceptedAtRefusal;
+                    if (!isReused) {
+                        entry.replica->write(refusedOn, refusal);
+                    }
+                    entry.loop.after(30ms, [&entry, connection, id] {
+                        entry.replica->write(connection, answerBytes(Framing::Length, id, "done"));
+                    });
+                },
+                idempotent,
+                limited ? std::vector<ServiceLimits>{{.service = {"s"}, .connectionsPerReplica = 1}}
+                        : std::vector<ServiceLimits>{});
+            const UpstreamHttpResponse answer = entry.callEach(1, 0ms, "POST").front();
+            BOOST_TEST(answer.status == 200);
+            BOOST_TEST(answer.body == "done");
+            BOOST_TEST(ran == 1);
+            BOOST_TEST(entry.replica->accepted == 2);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_second_copy_of_an_answer_reaches_no_other_caller)
 {
     for (const Framing framing : {Framing::Length, Framing::Chunks}) {
--- a/src/hickoryshore/entry/request_attempts.cpp
+++ b/src/hickoryshore/entry/request_attempts.cpp
@@ -112,6 +112,7 @@
         exchange.mostBodyBytes = std::max(minPartByteLimit, maxRecordsFactor * wanted);
     }
     exchange.skipsForeign = true;
+    exchange.excluded = request.replyConnections;
     exchange.belongs = [this, shared = request.forwarding](const UpstreamHttpResponse &response) {
         const auto echoed = findHeader(response.headers, this->protocol.headers.requestId);
         return !echoed.has_value() || *echoed == shared->requestId;
@@ -192,6 +193,7 @@
     }
     const bool isReply = !end.failure.has_value();
     if (isReply) {
+        waiting->second.replyConnections.push_back(end.connection);
         waiting->second.replies.emplace(attempt, std::move(end.response));
     }
     if (result.code != ResultCode::Ok) {
--- a/src/hickoryshore/upstream/http_connections.cpp
+++ b/src/hickoryshore/upstream/http_connections.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <ranges>
 #include <system_error>
 #include <utility>
 
@@ -64,10 +65,7 @@
     const Instant deadline = monotonicNow() + exchange.timeout;
     const Id exchangeId = ++this->lastId;
     this->starting = true;
-    std::optional<Id> id = this->takeIdle(server, exchange.proven);
-    if (!id.has_value()) {
-        id = this->open(server, deadline);
-    }
+    const std::optional<Id> id = this->takeOrOpen(server, exchange, deadline);
     const bool atBound = server.open >= server.limit;
     if (id.has_value()) {
         this->use(*id, exchangeId, std::move(exchange), deadline);
@@ -134,13 +132,10 @@
             this->endExchange(this->takeWaiting(next), {.failure = HttpFailure::Connect});
             continue;
         }
-        std::optional<Id> id = this->takeIdle(server, first.exchange.proven);
+        const std::optional<Id> id = this->takeOrOpen(server, first.exchange, deadline);
         if (!id.has_value() && server.open >= server.limit) {
             return;
         }
-        if (!id.has_value()) {
-            id = this->open(server, deadline);
-        }
         HttpExchange exchange = this->takeWaiting(next);
         if (id.has_value()) {
             this->use(*id, next, std::move(exchange), deadline);
@@ -177,23 +172,44 @@
     return true;
 }
 
-std::optional<HttpConnections::Id> HttpConnections::takeIdle(Server &server, bool proven)
+/// Returns the idle connection that was used last, or std::nullopt if there is none that the exchange may use.
+std::optional<HttpConnections::Id> HttpConnections::takeIdle(Server &server, const HttpExchange &exchange)
 {
-    if (server.idle.empty()) {
+    const auto candidates = std::views::reverse(server.idle);
+    const auto found = std::ranges::find_if(candidates, [&exchange](Id id) {
+        return std::ranges::find(exchange.excluded, HttpConnectionId{id}) == exchange.excluded.end();
+    });
+    if (found == candidates.end()) {
         return std::nullopt;
     }
-    const Id id = server.idle.back();
+    const Id id = *found;
     const Connection &connection = this->connections.at(id);
     const bool stale = connection.connected && monotonicNow() - connection.lastAlive > this->settings.provenFor;
-    if (proven && stale) {
+    if (exchange.proven && stale) {
         ++this->counters.closedAsSuspect;
         this->close(id);
         return std::nullopt;
     }
-    server.idle.pop_back();
+    std::erase(server.idle, id);
     return id;
 }
 
+/// Returns an idle connection or one that is being opened, or std::nullopt if the limit allows none. Idle connections
+/// that the exchange excludes make room for a new one, so that it doesn't wait while connections are free.
+std::optional<HttpConnections::Id> HttpConnections::takeOrOpen(Server &server,
+                                                               const HttpExchange &exchange,
+                                                               Instant deadline)
+{
+    if (const std::optional<Id> idle = this->takeIdle(server, exchange)) {
+        return idle;
+    }
+    while (server.open >= server.limit && !server.idle.empty()) {
+        ++this->counters.closedForRepeats;
+        this->close(server.idle.front());
+    }
+    return this->open(server, deadline);
+}
+
 std::optional<HttpConnections::Id> HttpConnections::open(Server &server, Instant deadline)
 {
     if (server.open >= server.limit) {
@@ -464,8 +480,9 @@
 /// over as foreign, and the exchange goes on.
 bool HttpConnections::completed(Id id, Connection &connection, bool ended)
 {
-    HttpExchangeEnd end{.sent = true, .response = connection.reader.release()};
+    HttpExchangeEnd end{.sent = true, .response = connection.reader.release(), .connection = {id}};
     const bool foreign = connection.exchange->belongs && !connection.exchange->belongs(end.response);
+    this->counters.foreignResponses += foreign ? 1 : 0;
     connection.sawForeign = connection.sawForeign || foreign;
     if (foreign && connection.exchange->skipsForeign) {
         if (++connection.foreign > mostForeign) {
@@ -530,6 +547,8 @@
             .closedAsSilent = this->counters.closedAsSilent,
             .closedAsSuspect = this->counters.closedAsSuspect,
             .closedAsTooLong = this->counters.closedAsTooLong,
+            .closedForRepeats = this->counters.closedForRepeats,
+            .foreignResponses = this->counters.foreignResponses,
             .open = this->counters.open};
 }
 
