State: only unanswered calls to the store show an outage of the store

Cause: a gap of 3 s between two confirmations of the state counted as an outage of the store, whatever the VM had asked meanwhile. A VM that follows others asks the store nothing. When both VMs that it follows lost power, the gap showed only that they were silent; the removal that came next was taken for an expiry, and the replica stayed in use for 2.5 s more.

Ruled out: heard too late (replicaVanished 2.5 s after the removal at the latest), and a registry that keeps what was removed (it drops at once unless it is told of an outage). storeOutageEnded with its evidence is new in the log and tells these apart.

Change: an outage is 3 s from the start of the first call to the store that it has not answered to the first answer of the store, to this VM or to one that tells when. Calls to other VMs show nothing. VMs that call the store tell the others, as before; a VM that starts in an outage does so too now.

--- a/include/hickoryshore/entry/state_service.h
+++ b/include/hickoryshore/entry/state_service.h
@@ -98,6 +98,7 @@
     template<typename Key>
     bool hasOnlyOwnKeys(PrefixKind kind, const std::vector<Key> &keys) const;
     void watch(PrefixKind kind, const WatchKeys &call);
+    void recordCallTarget(PrefixKind kind);
     void armTimer(PrefixKind kind);
     std::vector<LogField> callFields(PrefixKind kind) const;
     void logStaleness();
--- a/include/hickoryshore/statesync/prefix_follower.h
+++ b/include/hickoryshore/statesync/prefix_follower.h
@@ -117,7 +117,21 @@
     bool reachable = false;
 };
 
-using FollowerAction = std::variant<ListKeys, WatchKeys, ApplyListing, ApplyChange, StoreReachable>;
+/// What shows a store outage.
+enum class OutageEvidence {
+    UnansweredCalls, ///< The store answered none of this VM's calls.
+    MassExpiry, ///< Many keys disappeared together.
+    Peer, ///< A peer reported it.
+};
+
+/// Reports the end of a store outage, after which keys may be missing only because of it.
+struct StoreOutageEnded
+{
+    OutageEvidence evidence = OutageEvidence::UnansweredCalls;
+    Duration silence{0}; ///< Since the start of the first unanswered call; zero with other evidence.
+};
+
+using FollowerAction = std::variant<ListKeys, WatchKeys, ApplyListing, ApplyChange, StoreReachable, StoreOutageEnded>;
 
 /// Follows one prefix. Not thread-safe.
 ///
@@ -126,8 +140,9 @@
 class PrefixFollower
 {
 public:
-    /// If the store confirms nothing for longer than this, to any VM that this one hears of, it counts as having been
-    /// away. Longer than a watch with its answer. Leases of three seconds expire in an outage of this length.
+    /// If the store answers no call of this VM for longer than this, and no peer reports a later answer, it counts as
+    /// having been away. Longer than a watch with its answer. Leases of three seconds expire in an outage of this
+    /// length.
     static constexpr Duration minOutage = std::chrono::seconds(3);
 
     /// How long removed keys may be due to a store outage, from its end. The keys that expired in it come with the
@@ -150,6 +165,11 @@
     explicit PrefixFollower(std::uint64_t seed);
 
     void start(Instant now, std::vector<FollowerAction> &actions);
+
+    /// Records that the call requested last went to a peer instead of the store. The silence of a peer, or of the
+    /// network to it, does not show that the store is away.
+    void onCallSentToPeer();
+
     void onPage(Instant now, StorePage page, std::vector<FollowerAction> &actions);
     void onChanges(Instant now, StoreChanges changes, std::vector<FollowerAction> &actions);
     void onFailure(Instant now, StoreFailure failure, std::vector<FollowerAction> &actions);
@@ -203,9 +223,13 @@
                     const StoreRevision &asOf,
                     Instant stateConfirmedAt,
                     std::vector<FollowerAction> &actions);
-    void recordOutage(Instant now, std::optional<Duration> ago);
-    void recordConfirmation(Instant confirmedAt);
-    void recordRemovals(Instant now, std::size_t removed, std::size_t known);
+    void onCallAnswered(Instant now, std::vector<FollowerAction> &actions);
+    std::optional<Instant> unansweredSince() const;
+    void endStoreSilence(Instant answeredAt, std::vector<FollowerAction> &actions);
+    void recordOutage(Instant now, std::optional<Duration> ago, std::vector<FollowerAction> &actions);
+    void recordOutageEnd(Instant endedAt, const StoreOutageEnded &outage, std::vector<FollowerAction> &actions);
+    void recordConfirmation(Instant confirmedAt, std::vector<FollowerAction> &actions);
+    void recordRemovals(Instant now, std::size_t removed, std::size_t known, std::vector<FollowerAction> &actions);
     void backOff(Instant now);
     Duration randomDelay(Duration minDelay, Duration maxDelay);
 
@@ -222,6 +246,9 @@
     int failures = 0; ///< Consecutive failures.
     Instant watchedAt; ///< When the last watch started.
     Instant calledAt; ///< When the last call started.
+    bool awaitsStore = false; ///< Whether a call to the store is in flight.
+    std::optional<Instant> storeSilentSince; ///< Since when calls to the store failed while it answered no VM that this
+                                             ///< one hears of.
     Instant relistedAt; ///< When a listing was last scheduled because the history was gone.
     std::optional<Instant> nextCallAt; ///< When the next call is due.
     std::optional<Instant> confirmedAt; ///< When the store last confirmed the current state.
--- a/src/hickoryshore/entry/state_service.cpp
+++ b/src/hickoryshore/entry/state_service.cpp
@@ -53,6 +53,19 @@
     });
 }
 
+std::string_view evidenceName(OutageEvidence evidence)
+{
+    switch (evidence) {
+    case OutageEvidence::UnansweredCalls:
+        return "unansweredCalls";
+    case OutageEvidence::MassExpiry:
+        return "massExpiry";
+    case OutageEvidence::Peer:
+        return "peer";
+    }
+    return "";
+}
+
 std::string ageText(std::optional<Duration> age)
 {
     return age.has_value() ? std::to_string(ceilMilliseconds(*age)) : std::string();
@@ -116,6 +129,11 @@
         this->applyListing(kind, *whole);
     } else if (const auto *change = std::get_if<ApplyChange>(&action)) {
         this->applyChange(kind, *change);
+    } else if (const auto *outage = std::get_if<StoreOutageEnded>(&action)) {
+        std::vector<LogField> fields = this->callFields(kind);
+        fields.push_back({"evidence", std::string(evidenceName(outage->evidence))});
+        fields.push_back({"silentMs", std::to_string(ceilMilliseconds(outage->silence))});
+        writeLog({.level = LogLevel::Warn, .slice = slice, .event = "storeOutageEnded", .fields = std::move(fields)});
     } else if (const auto *reach = std::get_if<StoreReachable>(&action)) {
         writeLog({.level = reach->reachable ? LogLevel::Info : LogLevel::Warn,
                   .slice = slice,
@@ -168,6 +186,16 @@
         }
         this->perform(kind);
     });
+    this->recordCallTarget(kind);
+}
+
+/// Tells the follower if the call that was just started went to another VM.
+void StateService::recordCallTarget(PrefixKind kind)
+{
+    Prefix &prefix = this->prefixes[kind];
+    if (this->store.latestCall(prefix.name).source != storeSourceName) {
+        prefix.follower.onCallSentToPeer();
+    }
 }
 
 /// Returns whether an answer contains only keys of the requested prefix. Otherwise it may be a late copy of the answer
@@ -204,6 +232,7 @@
         }
         this->perform(kind);
     });
+    this->recordCallTarget(kind);
 }
 
 void StateService::armTimer(PrefixKind kind)
--- a/src/hickoryshore/statesync/prefix_follower.cpp
+++ b/src/hickoryshore/statesync/prefix_follower.cpp
@@ -51,6 +51,7 @@
         return;
     }
     this->calledAt = now;
+    this->awaitsStore = true;
     if (!this->mustList) {
         this->watchedAt = now;
         this->watchedFrom = this->knownAsOf;
@@ -79,28 +80,73 @@
     return this->hadRecentOutage(now) ? std::optional<Duration>(now - *this->lastOutageAt) : std::nullopt;
 }
 
-void PrefixFollower::recordOutage(Instant now, std::optional<Duration> ago)
+void PrefixFollower::onCallSentToPeer()
+{
+    this->awaitsStore = false;
+}
+
+void PrefixFollower::onCallAnswered(Instant now, std::vector<FollowerAction> &actions)
+{
+    if (this->awaitsStore) {
+        this->endStoreSilence(now, actions);
+        this->awaitsStore = false;
+        this->storeSilentSince.reset();
+    }
+}
+
+/// Returns since when the store has answered no call of this VM, or std::nullopt if no call failed or is in flight.
+std::optional<Instant> PrefixFollower::unansweredSince() const
+{
+    const auto pendingSince = this->awaitsStore ? std::optional<Instant>(this->calledAt) : std::nullopt;
+    return this->storeSilentSince.has_value() ? this->storeSilentSince : pendingSince;
+}
+
+/// Records that the store answered a call of this or another VM at this time.
+void PrefixFollower::endStoreSilence(Instant answeredAt, std::vector<FollowerAction> &actions)
+{
+    const auto since = this->unansweredSince();
+    if (!since.has_value() || answeredAt < *since) {
+        return;
+    }
+    if (answeredAt - *since > minOutage) {
+        this->recordOutageEnd(answeredAt, {.silence = answeredAt - *since}, actions);
+    }
+    // A call that is still in flight shows a new silence at the earliest from now on.
+    this->storeSilentSince = this->awaitsStore ? std::optional<Instant>(answeredAt) : std::nullopt;
+}
+
+void PrefixFollower::recordOutageEnd(Instant endedAt,
+                                     const StoreOutageEnded &outage,
+                                     std::vector<FollowerAction> &actions)
+{
+    if (!this->lastOutageAt.has_value() || endedAt - *this->lastOutageAt >= recentOutagePeriod) {
+        actions.emplace_back(outage);
+    }
+    this->lastOutageAt = std::max(this->lastOutageAt.value_or(endedAt), endedAt);
+}
+
+void PrefixFollower::recordOutage(Instant now, std::optional<Duration> ago, std::vector<FollowerAction> &actions)
 {
     if (ago.has_value()) {
-        this->lastOutageAt = std::max(this->lastOutageAt.value_or(now - *ago), now - *ago);
+        this->recordOutageEnd(now - *ago, {.evidence = OutageEvidence::Peer}, actions);
     }
 }
 
 /// Counts a mass expiry as an outage that was too short to be noticed otherwise.
-void PrefixFollower::recordRemovals(Instant now, std::size_t removed, std::size_t known)
+void PrefixFollower::recordRemovals(Instant now,
+                                    std::size_t removed,
+                                    std::size_t known,
+                                    std::vector<FollowerAction> &actions)
 {
     if (isMassExpiry(removed, known) && !this->hadRecentOutage(now)) {
-        this->lastOutageAt = now;
+        this->recordOutageEnd(now, {.evidence = OutageEvidence::MassExpiry}, actions);
     }
 }
 
-/// Records that the store confirmed the state at this time. A call of this VM alone that fails is no outage: the store
-/// may turn single VMs away, and writers renew their keys meanwhile.
-void PrefixFollower::recordConfirmation(Instant confirmedAt)
+/// Records that the store confirmed the state at this time, to this or another VM.
+void PrefixFollower::recordConfirmation(Instant confirmedAt, std::vector<FollowerAction> &actions)
 {
-    if (this->confirmedAt.has_value() && confirmedAt - *this->confirmedAt > minOutage) {
-        this->lastOutageAt = std::max(this->lastOutageAt.value_or(confirmedAt), confirmedAt);
-    }
+    this->endStoreSilence(confirmedAt, actions);
     this->confirmedAt = std::max(this->confirmedAt.value_or(confirmedAt), confirmedAt);
 }
 
@@ -112,12 +158,13 @@
 void PrefixFollower::onPage(Instant now, StorePage page, std::vector<FollowerAction> &actions)
 {
     this->markReachable(actions);
+    this->onCallAnswered(now, actions);
     if (!this->mustList) {
         // A peer has sent the state in the meantime.
         this->scheduleNextCall(now, actions);
         return;
     }
-    this->recordOutage(now, page.timeSinceStoreOutage);
+    this->recordOutage(now, page.timeSinceStoreOutage, actions);
     if (!this->listedItems.empty() && page.asOf.era != this->listedAsOf.era) {
         // The store was restored from a copy between two pages, so the earlier pages describe a state that no longer
         // exists.
@@ -157,7 +204,7 @@
     if (fromOlderCopy) {
         this->confirmedAt.reset();
     }
-    this->recordConfirmation(stateConfirmedAt);
+    this->recordConfirmation(stateConfirmedAt, actions);
     this->knownAsOf = asOf;
     this->recentChanges.clear();
     this->recentChangesStart = asOf.number;
@@ -168,7 +215,7 @@
     const auto vanished = std::ranges::count_if(before, [this](const auto &entry) {
         return !this->state.contains(entry.first);
     });
-    this->recordRemovals(now, static_cast<std::size_t>(vanished), before.size());
+    this->recordRemovals(now, static_cast<std::size_t>(vanished), before.size(), actions);
     actions.emplace_back(ApplyListing{
         .items = std::move(items), .recentStoreOutage = this->hadRecentOutage(now), .fromOlderCopy = fromOlderCopy});
     return true;
@@ -177,6 +224,7 @@
 void PrefixFollower::onChanges(Instant now, StoreChanges changes, std::vector<FollowerAction> &actions)
 {
     this->markReachable(actions);
+    this->onCallAnswered(now, actions);
     if (changes.asOf.era != this->watchedFrom.era) {
         // These changes follow a number that was reused in the other era, so some may be missing.
         if (changes.asOf.era > this->knownAsOf.era) {
@@ -193,7 +241,7 @@
         return;
     }
     this->failures = 0;
-    this->recordConfirmation(now - changes.age);
+    this->recordConfirmation(now - changes.age, actions);
     this->applyChanges(now, std::move(changes), actions);
     this->scheduleNextCall(now, actions);
 }
@@ -203,7 +251,7 @@
     if (this->mustList || changes.asOf.era != this->knownAsOf.era) {
         return;
     }
-    this->recordConfirmation(now - changes.age);
+    this->recordConfirmation(now - changes.age, actions);
     if (changes.asOf > this->knownAsOf) {
         this->applyChanges(now, std::move(changes), actions);
     }
@@ -215,8 +263,8 @@
     const auto vanished = std::ranges::count_if(changes.changes, [this](const StoreChange &change) {
         return !change.value.has_value() && this->state.contains(change.key);
     });
-    this->recordOutage(now, changes.timeSinceStoreOutage);
-    this->recordRemovals(now, static_cast<std::size_t>(vanished), this->state.size());
+    this->recordOutage(now, changes.timeSinceStoreOutage, actions);
+    this->recordRemovals(now, static_cast<std::size_t>(vanished), this->state.size(), actions);
     for (StoreChange &change : changes.changes) {
         // While this watch was pending, a peer may have sent a newer state in which the key is already removed.
         const auto found = this->state.find(change.key);
@@ -244,6 +292,7 @@
     this->listedItems.clear();
     this->watchedAt = {};
     if (failure == StoreFailure::HistoryGone) {
+        this->onCallAnswered(now, actions);
         this->mustList = true;
         // Limits how often a store that keeps no history is listed.
         const Instant earliest = std::max(now, this->relistedAt + watchInterval);
@@ -255,6 +304,10 @@
         }
         return;
     }
+    if (failure == StoreFailure::Unavailable) {
+        this->storeSilentSince = this->unansweredSince();
+    }
+    this->awaitsStore = false;
     if (this->reachable) {
         this->reachable = false;
         actions.emplace_back(StoreReachable{false});
@@ -284,14 +337,14 @@
     }
     const Instant stateConfirmedAt = now - state.age;
     if (state.asOf > this->knownAsOf) {
-        this->recordOutage(now, state.timeSinceStoreOutage);
+        this->recordOutage(now, state.timeSinceStoreOutage, actions);
         this->applyState(now, std::move(state.items), state.asOf, stateConfirmedAt, actions);
         // The pending listing is no longer needed.
         this->mustList = false;
         this->listedItems.clear();
     } else {
         // Where this VM's state is newer than the peer's, it holds all that the store held at that time.
-        this->recordConfirmation(stateConfirmedAt);
+        this->recordConfirmation(stateConfirmedAt, actions);
     }
 }
 
--- a/src/hickoryshore/statesync/prefix_follower_test.cpp
+++ b/src/hickoryshore/statesync/prefix_follower_test.cpp
@@ -192,6 +192,81 @@
     BOOST_TEST(!this->take<ApplyChange>().at(0).recentStoreOutage);
 }
 
+// Guards against withdrawn replicas that stay in use, because the VMs that this one follows fell silent while the store
+// served all others.
+BOOST_AUTO_TEST_CASE(the_silence_of_peers_is_no_store_outage)
+{
+    // The peer's state was confirmed 2 s before it was told.
+    this->follower.start(start, this->actions);
+    this->follower.onCallSentToPeer();
+    this->follower.onPage(start, {.items = {{"a", "1", 3}, {"b", "2", 4}}, .asOf = {0, 10}, .age = 2s}, this->actions);
+    this->follower.onCallSentToPeer();
+    this->follower.onFailure(start + 1600ms, StoreFailure::PeerUnavailable, this->actions);
+    this->follower.onTimer(this->follower.nextTimer().value(), this->actions);
+    this->follower.onCallSentToPeer();
+    this->follower.onFailure(start + 2300ms, StoreFailure::PeerUnavailable, this->actions);
+    // The store itself answers at once.
+    this->follower.onTimer(this->follower.nextTimer().value(), this->actions);
+    this->actions.clear();
+    this->follower.onChanges(start + 2500ms, {.changes = {{"a", std::nullopt, 12}}, .asOf = {0, 12}}, this->actions);
+    BOOST_TEST(!this->follower.hadRecentOutage(start + 2500ms));
+    const auto actions = this->actions;
+    BOOST_TEST(!this->take<ApplyChange>().at(0).recentStoreOutage);
+    this->actions = actions;
+    BOOST_TEST(this->take<StoreOutageEnded>().empty());
+}
+
+// The same if another peer, rather than the store, tells what happened meanwhile.
+BOOST_AUTO_TEST_CASE(changes_from_a_peer_after_the_silence_of_another_follow_no_store_outage)
+{
+    this->follower.start(start, this->actions);
+    this->follower.onCallSentToPeer();
+    this->follower.onPage(start, {.items = {{"a", "1", 3}}, .asOf = {0, 10}, .age = 2s}, this->actions);
+    this->follower.onCallSentToPeer();
+    this->actions.clear();
+    this->follower.onPeerChanges(
+        start + 2s, {.changes = {{"a", std::nullopt, 12}}, .asOf = {0, 12}, .age = 100ms}, this->actions);
+    BOOST_TEST(!this->take<ApplyChange>().at(0).recentStoreOutage);
+}
+
+// Guards against living replicas that are dropped after an outage: a VM whose peers fell silent first has asked the
+// store itself for long enough to know.
+BOOST_AUTO_TEST_CASE(unanswered_calls_to_the_store_show_an_outage_whatever_peers_do)
+{
+    this->follower.start(start, this->actions);
+    this->follower.onCallSentToPeer();
+    this->follower.onPage(start, {.items = {{"a", "1", 3}}, .asOf = {0, 10}}, this->actions);
+    this->follower.onCallSentToPeer();
+    this->follower.onFailure(start + 1s, StoreFailure::PeerUnavailable, this->actions);
+    const Instant asked = this->follower.nextTimer().value();
+    this->follower.onTimer(asked, this->actions);
+    this->follower.onFailure(asked + 1s, StoreFailure::Unavailable, this->actions);
+    this->follower.onTimer(this->follower.nextTimer().value(), this->actions);
+    this->follower.onCallSentToPeer();
+    this->follower.onFailure(asked + 2500ms, StoreFailure::PeerStale, this->actions);
+    this->follower.onTimer(this->follower.nextTimer().value(), this->actions);
+    this->actions.clear();
+    const Instant returned = asked + PrefixFollower::minOutage + 1ms;
+    this->follower.onChanges(returned, {.changes = {{"a", std::nullopt, 12}}, .asOf = {0, 12}}, this->actions);
+    const auto actions = this->actions;
+    BOOST_TEST(this->take<ApplyChange>().at(0).recentStoreOutage);
+    this->actions = actions;
+    const auto ended = this->take<StoreOutageEnded>();
+    BOOST_REQUIRE(ended.size() == 1);
+    BOOST_TEST((ended.front().evidence == OutageEvidence::UnansweredCalls));
+    BOOST_TEST((ended.front().silence == PrefixFollower::minOutage + 1ms));
+}
+
+// A VM that starts in an outage has no state yet, but the VMs that follow it have.
+BOOST_AUTO_TEST_CASE(a_vm_that_starts_during_an_outage_reports_it_to_peers)
+{
+    this->follower.start(start, this->actions);
+    this->follower.onFailure(start + 2s, StoreFailure::Unavailable, this->actions);
+    this->follower.onTimer(this->follower.nextTimer().value(), this->actions);
+    this->follower.onPage(start + 4s, {.items = {{"a", "1", 3}}, .asOf = {0, 10}}, this->actions);
+    BOOST_TEST((this->follower.timeSinceOutage(start + 5s) == 1s));
+}
+
 BOOST_AUTO_TEST_CASE(a_mass_expiry_does_not_prolong_an_outage)
 {
     std::vector<StoreItem> items;
