State: a pause of the VM itself is no outage of the store

The time since the call began counted as an outage of the store, so the replicas whose entries were removed meanwhile stayed in use for 2.5 s more, and the VMs that follow it were told of an outage too.

Change: StateService notes when it last handled an event. More than 1 s later (checks come each 250 ms) it tells the followers, before the first answer is applied, and the silence counts from then on. The new line "resumed" tells it.

--- a/include/hickoryshore/entry/state_service.h
+++ b/include/hickoryshore/entry/state_service.h
@@ -99,6 +99,7 @@
     bool hasOnlyOwnKeys(PrefixKind kind, const std::vector<Key> &keys) const;
     void watch(PrefixKind kind, const WatchKeys &call);
     void recordCallTarget(PrefixKind kind);
+    void checkPause();
     void armTimer(PrefixKind kind);
     std::vector<LogField> callFields(PrefixKind kind) const;
     void logStaleness();
@@ -149,6 +150,7 @@
     StoreAccess storeCalls;
     StateHooks hooks;
     std::array<Prefix, PrefixKindCount> prefixes;
+    Instant lastRanAt; ///< When this VM last handled an event of the store or a timer; zero before the start.
     std::vector<FollowerAction> actions;
     std::shared_ptr<const RouteTable> routes;
     std::string routesText; ///< Sent to peers, since the store may hold an older configuration.
--- a/include/hickoryshore/statesync/prefix_follower.h
+++ b/include/hickoryshore/statesync/prefix_follower.h
@@ -170,6 +170,10 @@
     /// network to it, does not show that the store is away.
     void onCallSentToPeer();
 
+    /// Records that this VM did not run until now. Answers that it did not read in that time show nothing about the
+    /// store.
+    void onPaused(Instant now);
+
     void onPage(Instant now, StorePage page, std::vector<FollowerAction> &actions);
     void onChanges(Instant now, StoreChanges changes, std::vector<FollowerAction> &actions);
     void onFailure(Instant now, StoreFailure failure, std::vector<FollowerAction> &actions);
--- a/src/hickoryshore/entry/state_peers.cpp
+++ b/src/hickoryshore/entry/state_peers.cpp
@@ -54,6 +54,7 @@
     const StoreRevision after = this->ownRevision(Replicas);
     this->store.askChanges(
         this->prefixes[Replicas].name, after, [this](const Member &peer, const ChangesResult &result) {
+            this->checkPause();
             const auto *changes = std::get_if<StoreChanges>(&result);
             if (changes != nullptr && this->hasOnlyOwnKeys(Replicas, changes->changes)) {
                 this->prefixes[Replicas].follower.onPeerChanges(monotonicNow(), *changes, this->actions);
@@ -101,6 +102,7 @@
 
 void StateService::applyPeerState(PrefixKind kind, PageResult result, const std::string &peer)
 {
+    this->checkPause();
     auto *page = std::get_if<StorePage>(&result);
     writeLog({.level = page == nullptr ? LogLevel::Warn : LogLevel::Info,
               .slice = slice,
--- a/src/hickoryshore/entry/state_service.cpp
+++ b/src/hickoryshore/entry/state_service.cpp
@@ -19,6 +19,8 @@
 constexpr Duration membershipTimeout = 250ms;
 /// Interval of checks for waiting peers, expired replicas and newer configurations of peers.
 constexpr Duration checkInterval = 250ms;
+/// Time between two events above which this VM was paused: several checks are missing.
+constexpr Duration minPause = 1s;
 /// Age above which a state is logged as stale: a watch at the store, then one at a VM that follows it, and their
 /// answers.
 constexpr Duration maxStateAge = 3500ms;
@@ -99,7 +101,9 @@
     this->loop.every(freshnessCheckInterval, [this] {
         this->checkFreshness();
     });
+    this->lastRanAt = monotonicNow();
     this->loop.every(checkInterval, [this] {
+        this->checkPause();
         this->askPeerIfLate();
         this->askDeparted();
         this->expireReplicas();
@@ -176,6 +180,7 @@
 void StateService::list(PrefixKind kind, const ListKeys &call)
 {
     this->storeCalls.list(this->prefixes[kind].name, call.after, [this, kind](PageResult result) {
+        this->checkPause();
         PrefixFollower &follower = this->prefixes[kind].follower;
         this->prefixes[kind].source = this->store.latestCall(this->prefixes[kind].name).source;
         auto *page = std::get_if<StorePage>(&result);
@@ -189,6 +194,24 @@
     this->recordCallTarget(kind);
 }
 
+/// Tells the followers if this VM has just resumed. Called before the first answer after a pause is applied, whichever
+/// event comes first.
+void StateService::checkPause()
+{
+    const Instant now = monotonicNow();
+    const Duration passed = now - std::exchange(this->lastRanAt, now);
+    if (passed <= minPause) {
+        return;
+    }
+    writeLog({.level = LogLevel::Warn,
+              .slice = slice,
+              .event = "resumed",
+              .fields = {{"pausedMs", std::to_string(ceilMilliseconds(passed))}}});
+    for (Prefix &prefix : this->prefixes) {
+        prefix.follower.onPaused(now);
+    }
+}
+
 /// Tells the follower if the call that was just started went to another VM.
 void StateService::recordCallTarget(PrefixKind kind)
 {
@@ -222,6 +245,7 @@
 void StateService::watch(PrefixKind kind, const WatchKeys &call)
 {
     this->storeCalls.watch(this->prefixes[kind].name, call.after, call.wait, [this, kind](ChangesResult result) {
+        this->checkPause();
         PrefixFollower &follower = this->prefixes[kind].follower;
         this->prefixes[kind].source = this->store.latestCall(this->prefixes[kind].name).source;
         auto *changes = std::get_if<StoreChanges>(&result);
--- a/src/hickoryshore/statesync/prefix_follower.cpp
+++ b/src/hickoryshore/statesync/prefix_follower.cpp
@@ -85,6 +85,13 @@
     this->awaitsStore = false;
 }
 
+void PrefixFollower::onPaused(Instant now)
+{
+    if (this->unansweredSince().has_value()) {
+        this->storeSilentSince = now;
+    }
+}
+
 void PrefixFollower::onCallAnswered(Instant now, std::vector<FollowerAction> &actions)
 {
     if (this->awaitsStore) {
--- a/src/hickoryshore/statesync/prefix_follower_test.cpp
+++ b/src/hickoryshore/statesync/prefix_follower_test.cpp
@@ -257,6 +257,24 @@
     BOOST_TEST((ended.front().silence == PrefixFollower::minOutage + 1ms));
 }
 
+// Guards against withdrawn replicas that stay in use, because a VM that was paused takes its own silence for an outage.
+BOOST_AUTO_TEST_CASE(a_pause_of_this_vm_is_no_store_outage)
+{
+    this->list(10);
+    this->follower.onPaused(start + 5s);
+    this->follower.onChanges(start + 5s, {.changes = {{"a", std::nullopt, 12}}, .asOf = {0, 12}}, this->actions);
+    BOOST_TEST(!this->take<ApplyChange>().at(0).recentStoreOutage);
+    // The time after the pause counts.
+    const Instant asked = start + 5s;
+    this->follower.onPaused(asked + 1s);
+    this->follower.onFailure(asked + 2s, StoreFailure::Unavailable, this->actions);
+    this->follower.onTimer(this->follower.nextTimer().value(), this->actions);
+    this->actions.clear();
+    const Instant returned = asked + 1s + PrefixFollower::minOutage + 1ms;
+    this->follower.onChanges(returned, {.changes = {{"b", std::nullopt, 13}}, .asOf = {0, 13}}, this->actions);
+    BOOST_TEST(this->take<ApplyChange>().at(0).recentStoreOutage);
+}
+
 // A VM that starts in an outage has no state yet, but the VMs that follow it have.
 BOOST_AUTO_TEST_CASE(a_vm_that_starts_during_an_outage_reports_it_to_peers)
 {
