Upstream: reverse search of idle connections without a view

clang 14, which lints and fuzzes, can't compile std::views::reverse. No change of behaviour; upstream_test and entry_test are run by the whole check.

--- a/src/hickoryshore/upstream/http_connections.cpp
+++ b/src/hickoryshore/upstream/http_connections.cpp
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <ranges>
 #include <system_error>
 #include <utility>
 
@@ -175,11 +174,10 @@
 /// Returns the idle connection that was used last, or std::nullopt if there is none that the exchange may use.
 std::optional<HttpConnections::Id> HttpConnections::takeIdle(Server &server, const HttpExchange &exchange)
 {
-    const auto candidates = std::views::reverse(server.idle);
-    const auto found = std::ranges::find_if(candidates, [&exchange](Id id) {
+    const auto found = std::find_if(server.idle.rbegin(), server.idle.rend(), [&exchange](Id id) {
         return std::ranges::find(exchange.excluded, HttpConnectionId{id}) == exchange.excluded.end();
     });
-    if (found == candidates.end()) {
+    if (found == server.idle.rend()) {
         return std::nullopt;
     }
     const Id id = *found;
