--- a/src/hickoryshore/entry/store_sharing.cpp
+++ b/src/hickoryshore/entry/store_sharing.cpp
@@ -31,6 +31,9 @@
 /// Each peer is used to follow two prefixes and may also be asked for a newer configuration.
 constexpr int connectionsPerPeer = 6;
 constexpr Duration peerIdleLimit = 5s;
+/// Bytes of one answer of a peer, and of all that are being read. A listing of a large fleet has about 3 MB.
+constexpr std::size_t maxAnswerBytes = std::size_t{8} * 1024 * 1024;
+constexpr std::size_t maxBytesTogether = 2 * maxAnswerBytes;
 
 constexpr int statusOk = 200;
 constexpr int statusGone = 410;
@@ -209,8 +212,11 @@
       store(std::move(store)),
       peerPort(peerPort),
       random(seed),
-      peers(std::make_shared<HttpConnections>(
-          loop, HttpConnectionSettings{.connectionsPerServer = connectionsPerPeer, .idleLimit = peerIdleLimit})),
+      peers(std::make_shared<HttpConnections>(loop,
+                                              HttpConnectionSettings{.connectionsPerServer = connectionsPerPeer,
+                                                                     .idleLimit = peerIdleLimit,
+                                                                     .responses = {.bodyBytes = maxAnswerBytes},
+                                                                     .bytesTogether = maxBytesTogether})),
       firstTurn(seed)
 { }
 
