--- a/include/hickoryshore/http/http_message.h
+++ b/include/hickoryshore/http/http_message.h
@@ -40,6 +40,10 @@
 /// Returns the value of the first header with this name (compared without case), or nothing.
 std::optional<std::string_view> findHeader(const std::vector<HttpHeader> &headers, std::string_view name);
 
+/// Percent-encodes any bytes as the value of a parameter of a query string. Leaves the unreserved characters of RFC
+/// 3986 and slashes as they are.
+std::string encodeQueryValue(std::string_view value);
+
 /// Returns the decoded value of a parameter of a query string, or nothing.
 std::optional<std::string> findQueryParameter(std::string_view queryString, std::string_view name);
 
--- a/src/hickoryshore/http/http_message.cpp
+++ b/src/hickoryshore/http/http_message.cpp
@@ -24,6 +24,27 @@
     return std::nullopt;
 }
 
+// Not mg_url_encode(), which ends at a zero byte and leaves ';' as it is, a separator of parameters for some servers.
+std::string encodeQueryValue(std::string_view value)
+{
+    constexpr std::string_view unreserved = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~/";
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    constexpr unsigned digitBits = 4;
+    constexpr unsigned lowDigit = 0xf;
+    std::string encoded;
+    for (const char character : value) {
+        if (unreserved.find(character) != std::string_view::npos) {
+            encoded += character;
+            continue;
+        }
+        const auto byte = static_cast<unsigned char>(character);
+        encoded += '%';
+        encoded += digits[byte >> digitBits];
+        encoded += digits[byte & lowDigit];
+    }
+    return encoded;
+}
+
 std::optional<std::string> findQueryParameter(std::string_view queryString, std::string_view name)
 {
     std::string value(queryString.size() + 1, '\0');
--- a/src/hickoryshore/http/http_test.cpp
+++ b/src/hickoryshore/http/http_test.cpp
@@ -221,4 +221,13 @@
     }
     BOOST_TEST(findQueryParameter("a=1&b=x%20y", "b").value() == "x y");
     BOOST_TEST(!findQueryParameter("a=1", "c").has_value());
+    BOOST_TEST(encodeQueryValue("servers/a-1._~") == "servers/a-1._~");
+    BOOST_TEST(encodeQueryValue("&%+ #;\r\n") == "%26%25%2B%20%23%3B%0D%0A");
+    std::string allBytes;
+    for (int byte = 0; byte < 256; ++byte) {
+        allBytes += static_cast<char>(byte);
+    }
+    const std::string query = "a=" + encodeQueryValue(allBytes) + "&b=1";
+    BOOST_TEST((findQueryParameter(query, "a") == allBytes));
+    BOOST_TEST(findQueryParameter(query, "b").value() == "1");
 }
