State: a listing whose pages bring no new key starts again

Change: PagedListing puts the pages together by key, for both. A page that is not the last and has no new key stalls the listing: logged, and started again after the usual delay. By the way listSeparately() keeps the age that another VM tells; its state counted as confirmed at once before.

Test: a_listing_whose_pages_repeat_starts_again_after_a_delay. The types of the store's contents move to a header of their own, unchanged.

--- a/include/hickoryshore/entry/state_service.h
+++ b/include/hickoryshore/entry/state_service.h
@@ -103,11 +103,12 @@
     void armTimer(PrefixKind kind);
     std::vector<LogField> callFields(PrefixKind kind) const;
     void logStaleness();
+    void logStalledListing(PrefixKind kind, std::string_view after) const;
     void applyListing(PrefixKind kind, const ApplyListing &listing);
     void applyChange(PrefixKind kind, const ApplyChange &change);
     void applyConfiguration(std::span<const StoreItem> items);
     void applyRouteTable(std::string_view text);
-    void listSeparately(PrefixKind kind, StorePage before);
+    void listSeparately(PrefixKind kind, PagedListing before);
     void onNewEra(PrefixKind kind);
     void askDeparted();
     ListedReplica readReplica(std::string_view key, std::string_view text) const;
--- a/include/hickoryshore/statesync/prefix_follower.h
+++ b/include/hickoryshore/statesync/prefix_follower.h
@@ -10,9 +10,9 @@
 //     follower.onFailure(now, failure, actions);     // and onTimer() at nextTimer()
 #pragma once
 
-#include "hickoryshore/base/time.h"
+#include "hickoryshore/statesync/paged_listing.h"
+#include "hickoryshore/statesync/store_types.h"
 
-#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -25,56 +25,6 @@
 
 namespace hickoryshore {
 
-/// A revision of the store. A store that is restored from an older copy starts a new era and reuses numbers. Numbers
-/// are therefore only comparable within one era, and any revision of a later era is newer.
-struct StoreRevision
-{
-    std::uint64_t era = 0;
-    std::uint64_t number = 0; ///< 0 before the first listing.
-
-    auto operator<=>(const StoreRevision &) const = default;
-};
-
-/// Formats the revision as "era.number".
-std::string storeRevisionText(const StoreRevision &revision);
-
-/// A key of the store with its value.
-struct StoreItem
-{
-    std::string key;
-    std::string value;
-    std::uint64_t revision = 0; ///< Number of its last change, in the era of the page or reply it came from.
-};
-
-/// One page of a listing.
-struct StorePage
-{
-    std::vector<StoreItem> items;
-    bool hasMore = false;
-    StoreRevision asOf; ///< The store's revision at the time of reading.
-    Duration age{0}; ///< Sent by a peer: how long ago the store confirmed this state.
-    std::optional<Duration> timeSinceStoreOutage; ///< Sent by a peer: how long ago the store it follows was
-                                                  ///< unavailable.
-};
-
-/// A change of a key. The value is std::nullopt if the key was removed.
-struct StoreChange
-{
-    std::string key;
-    std::optional<std::string> value;
-    std::uint64_t revision = 0; ///< Number of the change, in the era of the reply it came from.
-};
-
-/// The result of a watch. Empty if the watch timed out.
-struct StoreChanges
-{
-    std::vector<StoreChange> changes;
-    StoreRevision asOf; ///< The revision from which the next watch continues.
-    Duration age{0}; ///< Sent by a peer: how long ago the store confirmed this revision.
-    std::optional<Duration> timeSinceStoreOutage; ///< Sent by a peer: how long ago the store it follows was
-                                                  ///< unavailable.
-};
-
 /// Why a call to the store, or to a peer that follows it, failed.
 enum class StoreFailure {
     Unavailable, ///< The store did not answer.
@@ -131,7 +81,14 @@
     Duration silence{0}; ///< Since the start of the first unanswered call; zero with other evidence.
 };
 
-using FollowerAction = std::variant<ListKeys, WatchKeys, ApplyListing, ApplyChange, StoreReachable, StoreOutageEnded>;
+/// Reports that a listing was given up because the page after this key brought no new key.
+struct ListingStalled
+{
+    std::string after;
+};
+
+using FollowerAction
+    = std::variant<ListKeys, WatchKeys, ApplyListing, ApplyChange, StoreReachable, StoreOutageEnded, ListingStalled>;
 
 /// Follows one prefix. Not thread-safe.
 ///
@@ -222,11 +179,7 @@
     void scheduleNextCall(Instant now, std::vector<FollowerAction> &actions);
     void markReachable(std::vector<FollowerAction> &actions);
     void applyChanges(Instant now, StoreChanges changes, std::vector<FollowerAction> &actions);
-    bool applyState(Instant now,
-                    std::vector<StoreItem> items,
-                    const StoreRevision &asOf,
-                    Instant stateConfirmedAt,
-                    std::vector<FollowerAction> &actions);
+    bool applyState(Instant now, StorePage whole, std::vector<FollowerAction> &actions);
     void onCallAnswered(Instant now, std::vector<FollowerAction> &actions);
     std::optional<Instant> unansweredSince() const;
     void endStoreSilence(Instant answeredAt, std::vector<FollowerAction> &actions);
@@ -238,9 +191,7 @@
     Duration randomDelay(Duration minDelay, Duration maxDelay);
 
     std::map<std::string, Value, std::less<>> state;
-    std::vector<StoreItem> listedItems; ///< Items of the pages received so far in an incomplete listing.
-    StoreRevision listedAsOf;
-    Instant listedAt; ///< When the state of the first page was confirmed.
+    PagedListing listing;
     StoreRevision knownAsOf;
     StoreRevision watchedFrom; ///< Revision from which the last watch started.
     bool mustList = true;
--- a/src/hickoryshore/entry/state_service.cpp
+++ b/src/hickoryshore/entry/state_service.cpp
@@ -138,6 +138,8 @@
         fields.push_back({"evidence", std::string(evidenceName(outage->evidence))});
         fields.push_back({"silentMs", std::to_string(ceilMilliseconds(outage->silence))});
         writeLog({.level = LogLevel::Warn, .slice = slice, .event = "storeOutageEnded", .fields = std::move(fields)});
+    } else if (const auto *stalled = std::get_if<ListingStalled>(&action)) {
+        this->logStalledListing(kind, stalled->after);
     } else if (const auto *reach = std::get_if<StoreReachable>(&action)) {
         writeLog({.level = reach->reachable ? LogLevel::Info : LogLevel::Warn,
                   .slice = slice,
@@ -160,6 +162,15 @@
             {"stateAgeMs", ageText(prefix.follower.age(now))}};
 }
 
+void StateService::logStalledListing(PrefixKind kind, std::string_view after) const
+{
+    writeLog({.level = LogLevel::Error,
+              .slice = slice,
+              .event = "listingStalled",
+              .detail = "the page after this key brought no new key",
+              .fields = {{"prefix", this->prefixes[kind].name}, {"after", std::string(after)}}});
+}
+
 /// Logs when a state becomes stale, and when it is confirmed again.
 void StateService::logStaleness()
 {
@@ -389,31 +400,29 @@
 }
 
 /// Lists a prefix page by page, in parallel with the follower's own call.
-void StateService::listSeparately(PrefixKind kind, StorePage before)
+void StateService::listSeparately(PrefixKind kind, PagedListing before)
 {
-    const std::string after = before.items.empty() ? std::string() : before.items.back().key;
+    const std::string after = before.lastKey();
     this->storeCalls.list(
-        this->prefixes[kind].name, after, [this, kind, whole = std::move(before)](PageResult result) mutable {
+        this->prefixes[kind].name, after, [this, kind, after, listing = std::move(before)](PageResult result) mutable {
+            const Instant now = monotonicNow();
             auto *page = std::get_if<StorePage>(&result);
-            const bool fits = page != nullptr && this->hasOnlyOwnKeys(kind, page->items)
-                && (whole.items.empty() || whole.asOf.era == page->asOf.era);
-            if (!fits) {
-                // Not retried: the follower's own call ends eventually.
-                this->listingSeparately = false;
-                return;
+            // A failed listing is not retried: the follower's own call ends eventually.
+            auto progress = PagedListing::Progress::EraChanged;
+            if (page != nullptr && this->hasOnlyOwnKeys(kind, page->items)) {
+                progress = listing.add(now, std::move(*page));
             }
-            whole.asOf = whole.items.empty() ? page->asOf : std::min(whole.asOf, page->asOf);
-            whole.timeSinceStoreOutage
-                = page->timeSinceStoreOutage.has_value() ? page->timeSinceStoreOutage : whole.timeSinceStoreOutage;
-            const bool hasMore = page->hasMore && !page->items.empty();
-            std::ranges::move(page->items, std::back_inserter(whole.items));
-            if (hasMore) {
-                this->listSeparately(kind, std::move(whole));
+            if (progress == PagedListing::Progress::NeedsMore) {
+                this->listSeparately(kind, std::move(listing));
                 return;
             }
             this->listingSeparately = false;
-            this->prefixes[kind].follower.onPeerState(monotonicNow(), std::move(whole), this->actions);
-            this->perform(kind);
+            if (progress == PagedListing::Progress::Complete) {
+                this->prefixes[kind].follower.onPeerState(now, listing.take(now), this->actions);
+                this->perform(kind);
+            } else if (progress == PagedListing::Progress::Stalled) {
+                this->logStalledListing(kind, after);
+            }
         });
 }
 
--- a/src/hickoryshore/statesync/prefix_follower.cpp
+++ b/src/hickoryshore/statesync/prefix_follower.cpp
@@ -59,7 +59,7 @@
         actions.emplace_back(WatchKeys{this->knownAsOf, this->failures > 0 ? Duration(0) : maxWatchWait});
         return;
     }
-    actions.emplace_back(ListKeys{this->listedItems.empty() ? std::string() : this->listedItems.back().key});
+    actions.emplace_back(ListKeys{this->listing.lastKey()});
 }
 
 void PrefixFollower::markReachable(std::vector<FollowerAction> &actions)
@@ -172,59 +172,57 @@
         return;
     }
     this->recordOutage(now, page.timeSinceStoreOutage, actions);
-    if (!this->listedItems.empty() && page.asOf.era != this->listedAsOf.era) {
-        // The store was restored from a copy between two pages, so the earlier pages describe a state that no longer
-        // exists.
-        this->listedItems.clear();
+    const std::string after = this->listing.lastKey();
+    switch (this->listing.add(now, std::move(page))) {
+    case PagedListing::Progress::NeedsMore:
+        break;
+    case PagedListing::Progress::EraChanged:
         this->nextCallAt = now + this->randomDelay(Duration(0), maxListingDelay);
         return;
-    }
-    // Pages are read at different times, so the watch starts at the revision of the oldest page.
-    this->listedAt = this->listedItems.empty() ? now - page.age : this->listedAt;
-    this->listedAsOf = this->listedItems.empty() ? page.asOf : std::min(this->listedAsOf, page.asOf);
-    std::ranges::move(page.items, std::back_inserter(this->listedItems));
-    if (!page.hasMore || page.items.empty()) {
-        if (!this->applyState(now, std::exchange(this->listedItems, {}), this->listedAsOf, this->listedAt, actions)) {
+    case PagedListing::Progress::Stalled:
+        actions.emplace_back(ListingStalled{after});
+        this->backOff(now);
+        return;
+    case PagedListing::Progress::Complete:
+        if (!this->applyState(now, this->listing.take(now), actions)) {
             // The next watch would fail with HistoryGone and lead to another listing.
             this->backOff(now);
             return;
         }
         this->failures = 0;
         this->mustList = false;
+        break;
     }
     this->scheduleNextCall(now, actions);
 }
 
 /// Replaces the whole state. Returns false if the given state is older than the current one.
-bool PrefixFollower::applyState(Instant now,
-                                std::vector<StoreItem> items,
-                                const StoreRevision &asOf,
-                                Instant stateConfirmedAt,
-                                std::vector<FollowerAction> &actions)
+bool PrefixFollower::applyState(Instant now, StorePage whole, std::vector<FollowerAction> &actions)
 {
-    if (asOf < this->knownAsOf) {
+    if (whole.asOf < this->knownAsOf) {
         return false;
     }
-    const bool fromOlderCopy = this->knownAsOf.number > 0 && asOf.era > this->knownAsOf.era;
+    const bool fromOlderCopy = this->knownAsOf.number > 0 && whole.asOf.era > this->knownAsOf.era;
     // Keys written after the copy was made are written again, some of them after this listing.
     this->lastOutageAt = fromOlderCopy ? now : this->lastOutageAt;
     if (fromOlderCopy) {
         this->confirmedAt.reset();
     }
-    this->recordConfirmation(stateConfirmedAt, actions);
-    this->knownAsOf = asOf;
+    this->recordConfirmation(now - whole.age, actions);
+    this->knownAsOf = whole.asOf;
     this->recentChanges.clear();
-    this->recentChangesStart = asOf.number;
+    this->recentChangesStart = whole.asOf.number;
     const std::map<std::string, Value, std::less<>> before = std::exchange(this->state, {});
-    for (const StoreItem &item : items) {
+    for (const StoreItem &item : whole.items) {
         this->state[item.key] = {item.value, item.revision};
     }
     const auto vanished = std::ranges::count_if(before, [this](const auto &entry) {
         return !this->state.contains(entry.first);
     });
     this->recordRemovals(now, static_cast<std::size_t>(vanished), before.size(), actions);
-    actions.emplace_back(ApplyListing{
-        .items = std::move(items), .recentStoreOutage = this->hadRecentOutage(now), .fromOlderCopy = fromOlderCopy});
+    actions.emplace_back(ApplyListing{.items = std::move(whole.items),
+                                      .recentStoreOutage = this->hadRecentOutage(now),
+                                      .fromOlderCopy = fromOlderCopy});
     return true;
 }
 
@@ -296,7 +294,7 @@
 
 void PrefixFollower::onFailure(Instant now, StoreFailure failure, std::vector<FollowerAction> &actions)
 {
-    this->listedItems.clear();
+    this->listing.clear();
     this->watchedAt = {};
     if (failure == StoreFailure::HistoryGone) {
         this->onCallAnswered(now, actions);
@@ -345,10 +343,10 @@
     const Instant stateConfirmedAt = now - state.age;
     if (state.asOf > this->knownAsOf) {
         this->recordOutage(now, state.timeSinceStoreOutage, actions);
-        this->applyState(now, std::move(state.items), state.asOf, stateConfirmedAt, actions);
+        this->applyState(now, std::move(state), actions);
         // The pending listing is no longer needed.
         this->mustList = false;
-        this->listedItems.clear();
+        this->listing.clear();
     } else {
         // Where this VM's state is newer than the peer's, it holds all that the store held at that time.
         this->recordConfirmation(stateConfirmedAt, actions);
--- a/src/hickoryshore/statesync/prefix_follower_test.cpp
+++ b/src/hickoryshore/statesync/prefix_follower_test.cpp
@@ -53,6 +53,32 @@
     BOOST_TEST(this->take<WatchKeys>().at(0).after.number == 10);
 }
 
+// Guards against a listing that fills the memory, because the store sends the same page for ever.
+BOOST_AUTO_TEST_CASE(a_listing_whose_pages_repeat_starts_again_after_a_delay)
+{
+    // Two for each attempt, with delays of 0.4 s or more after the first four.
+    constexpr int maxCalls = 30;
+    this->follower.start(start, this->actions);
+    Instant now = start;
+    int calls = 0;
+    for (; now < start + 5s; now += 10ms) {
+        for (std::size_t due = this->take<ListKeys>().size(); due > 0; due = this->take<ListKeys>().size()) {
+            BOOST_REQUIRE(++calls <= maxCalls);
+            this->follower.onPage(now, {.items = {{"a", "1", 3}}, .hasMore = true, .asOf = {0, 10}}, this->actions);
+        }
+        this->follower.onTimer(now, this->actions);
+    }
+    BOOST_TEST(this->follower.items().empty());
+    // A store that sends the next page again is listed whole.
+    while (this->take<ListKeys>().empty()) {
+        now += 10ms;
+        this->follower.onTimer(now, this->actions);
+    }
+    this->follower.onPage(now, {.items = {{"a", "1", 3}}, .hasMore = true, .asOf = {0, 10}}, this->actions);
+    this->follower.onPage(now, {.items = {{"b", "2", 4}}, .asOf = {0, 10}}, this->actions);
+    BOOST_TEST(this->follower.items().size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(changes_are_applied_once)
 {
     this->list(10);
