State: changes for other VMs are kept without their values

Cause: the last 512 changes of a prefix were kept with their values, for VMs that are some revisions behind: 128 MB for such a configuration. Superseded values were kept and sent, too.

Change: RecentChanges remembers the latest revision of each key that changed lately; the value is read from the state when it is sent. The memory depends on neither the size of values nor how often a key changes, and a VM that is behind gets the newest value of a key once.

--- a/include/hickoryshore/statesync/prefix_follower.h
+++ b/include/hickoryshore/statesync/prefix_follower.h
@@ -11,10 +11,10 @@
 #pragma once
 
 #include "hickoryshore/statesync/paged_listing.h"
+#include "hickoryshore/statesync/recent_changes.h"
 #include "hickoryshore/statesync/store_types.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -165,8 +165,8 @@
     /// Returns the current state, for peers.
     std::vector<StoreItem> items() const;
 
-    /// Returns the changes since a revision, for peers, or std::nullopt if they are no longer available or the revision
-    /// is of an earlier era.
+    /// Returns the latest change since a revision of each key that changed, for peers, or std::nullopt if they are no
+    /// longer available or the revision is of an earlier era.
     std::optional<std::vector<StoreChange>> changesAfter(const StoreRevision &revision) const;
 
 private:
@@ -196,8 +196,7 @@
     StoreRevision watchedFrom; ///< Revision from which the last watch started.
     bool mustList = true;
     bool reachable = false;
-    std::deque<StoreChange> recentChanges; ///< The latest changes, all in the current era.
-    std::uint64_t recentChangesStart = 0; ///< recentChanges holds all changes after this number.
+    RecentChanges recentChanges; ///< All in the current era.
     int failures = 0; ///< Consecutive failures.
     Instant watchedAt; ///< When the last watch started.
     Instant calledAt; ///< When the last call started.
--- a/src/hickoryshore/statesync/prefix_follower.cpp
+++ b/src/hickoryshore/statesync/prefix_follower.cpp
@@ -16,8 +16,6 @@
 constexpr Duration firstRetryDelay = 100ms;
 constexpr Duration maxRetryDelay = 800ms;
 constexpr int maxDoublings = 3;
-/// Number of changes kept for peers. A peer further behind lists everything.
-constexpr std::size_t maxRecentChanges = 512;
 /// If at least this many keys and at least a quarter of all keys disappear together, they expired in a store outage and
 /// were not removed: writers leave one at a time, but an outage ends all leases together. A watch pending during the
 /// outage does not report it.
@@ -210,8 +208,7 @@
     }
     this->recordConfirmation(now - whole.age, actions);
     this->knownAsOf = whole.asOf;
-    this->recentChanges.clear();
-    this->recentChangesStart = whole.asOf.number;
+    this->recentChanges.restart(whole.asOf.number);
     const std::map<std::string, Value, std::less<>> before = std::exchange(this->state, {});
     for (const StoreItem &item : whole.items) {
         this->state[item.key] = {item.value, item.revision};
@@ -282,11 +279,7 @@
         } else if (found != this->state.end()) {
             this->state.erase(found);
         }
-        this->recentChanges.push_back(change);
-        if (this->recentChanges.size() > maxRecentChanges) {
-            this->recentChangesStart = this->recentChanges.front().revision;
-            this->recentChanges.pop_front();
-        }
+        this->recentChanges.record(change.key, change.revision);
         actions.emplace_back(ApplyChange{.change = std::move(change), .recentStoreOutage = this->hadRecentOutage(now)});
     }
     this->knownAsOf = std::max(this->knownAsOf, changes.asOf);
@@ -382,13 +375,15 @@
     if (revision.era > this->knownAsOf.era) {
         return changes;
     }
-    if (revision.era < this->knownAsOf.era || revision.number < this->recentChangesStart) {
+    if (revision.era < this->knownAsOf.era || !this->recentChanges.reachesBackTo(revision.number)) {
         return std::nullopt;
     }
-    for (const StoreChange &change : this->recentChanges) {
-        if (change.revision > revision.number) {
-            changes.push_back(change);
-        }
+    for (RecentChanges::Change &change : this->recentChanges.after(revision.number)) {
+        const auto found = this->state.find(change.key);
+        const bool removed = found == this->state.end();
+        changes.push_back({.key = std::move(change.key),
+                           .value = removed ? std::nullopt : std::optional<std::string>(found->second.value),
+                           .revision = change.revision});
     }
     return changes;
 }
--- a/src/hickoryshore/statesync/prefix_follower_test.cpp
+++ b/src/hickoryshore/statesync/prefix_follower_test.cpp
@@ -458,6 +458,28 @@
     BOOST_TEST(this->actions.empty());
 }
 
+// Guards against a VM that keeps every version of a large value, and against answers to peers that hold them all.
+BOOST_AUTO_TEST_CASE(a_key_that_changes_often_is_one_change_for_peers)
+{
+    constexpr std::size_t valueBytes = 250'000;
+    constexpr std::uint64_t versions = 400;
+    this->list(10);
+    for (std::uint64_t version = 1; version <= versions; ++version) {
+        const std::string value(valueBytes, version % 2 == 0 ? 'e' : 'o');
+        const std::uint64_t revision = 10 + version;
+        this->follower.onPeerChanges(
+            start, {.changes = {{"a", value, revision}}, .asOf = {0, revision}}, this->actions);
+        this->actions.clear();
+    }
+    this->follower.onPeerChanges(start, {.changes = {{"b", std::nullopt, 600}}, .asOf = {0, 600}}, this->actions);
+    const auto changes = this->follower.changesAfter({0, 10});
+    BOOST_REQUIRE(changes.has_value());
+    BOOST_REQUIRE(changes->size() == 2U);
+    BOOST_TEST((changes->front().value == std::string(valueBytes, 'e')));
+    BOOST_TEST(changes->front().revision == 10 + versions);
+    BOOST_TEST(!changes->back().value.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_store_restored_from_an_older_copy_is_listed_and_watched)
 {
     this->list(100);
