State: changes between two pages of a listing reach the VMs that follow

A VM that lists in pages has the revision of the first page and the entries of all. The watch from there brings the entries of later pages again; they were passed over as known, and not recorded for other VMs. One that has the first page's revision from another VM never heard of them (until they change again): a replica that drains stayed in use there.

Change: every change after the known revision is recorded, applied or not.

Test: changes_between_two_pages_of_a_listing_reach_peers.

--- a/src/hickoryshore/statesync/prefix_follower.cpp
+++ b/src/hickoryshore/statesync/prefix_follower.cpp
@@ -270,8 +270,12 @@
     for (StoreChange &change : changes.changes) {
         // While this watch was pending, a peer may have sent a newer state in which the key is already removed.
         const auto found = this->state.find(change.key);
-        const bool known = change.revision <= this->knownAsOf.number;
-        if (known || (found != this->state.end() && found->second.revision >= change.revision)) {
+        if (change.revision <= this->knownAsOf.number) {
+            continue;
+        }
+        // Recorded even if a later page of a listing brought it: peers may have the state of the first page.
+        this->recentChanges.record(change.key, change.revision);
+        if (found != this->state.end() && found->second.revision >= change.revision) {
             continue;
         }
         if (change.value.has_value()) {
@@ -279,7 +283,6 @@
         } else if (found != this->state.end()) {
             this->state.erase(found);
         }
-        this->recentChanges.record(change.key, change.revision);
         actions.emplace_back(ApplyChange{.change = std::move(change), .recentStoreOutage = this->hadRecentOutage(now)});
     }
     this->knownAsOf = std::max(this->knownAsOf, changes.asOf);
@@ -383,7 +386,7 @@
         const bool removed = found == this->state.end();
         changes.push_back({.key = std::move(change.key),
                            .value = removed ? std::nullopt : std::optional<std::string>(found->second.value),
-                           .revision = change.revision});
+                           .revision = removed ? change.revision : found->second.revision});
     }
     return changes;
 }
--- a/src/hickoryshore/statesync/prefix_follower_test.cpp
+++ b/src/hickoryshore/statesync/prefix_follower_test.cpp
@@ -480,6 +480,38 @@
     BOOST_TEST(!changes->back().value.has_value());
 }
 
+// Guards against a change that followers never hear of: an entry that was written between two pages of a listing is in
+// the state of the VM that listed, but not in that of the VMs that follow it from the first page's revision.
+BOOST_AUTO_TEST_CASE(changes_between_two_pages_of_a_listing_reach_peers)
+{
+    this->follower.start(start, this->actions);
+    this->follower.onPage(start, {.items = {{"a", "1", 3}}, .hasMore = true, .asOf = {0, 10}}, this->actions);
+    // Meanwhile b is written at 11, c at 12 and again at 13, and d is removed at 14.
+    this->follower.onPage(start, {.items = {{"b", "new", 11}, {"c", "newer", 13}}, .asOf = {0, 14}}, this->actions);
+    BOOST_TEST(this->follower.asOf().number == 10U);
+    this->actions.clear();
+    this->follower.onChanges(
+        start,
+        {.changes = {{"b", "new", 11}, {"c", "new", 12}, {"c", "newer", 13}, {"d", std::nullopt, 14}}, .asOf = {0, 14}},
+        this->actions);
+    // Only the removal is new here.
+    BOOST_TEST(this->take<ApplyChange>().size() == 1U);
+    PrefixFollower peer{2};
+    peer.start(start, this->actions);
+    peer.onPage(start, {.items = {{"a", "1", 3}, {"d", "4", 4}}, .asOf = {0, 10}}, this->actions);
+    const auto changes = this->follower.changesAfter({0, 10});
+    BOOST_REQUIRE(changes.has_value());
+    peer.onChanges(start, {.changes = *changes, .asOf = this->follower.asOf()}, this->actions);
+    const auto expected = this->follower.items();
+    const auto followed = peer.items();
+    BOOST_REQUIRE(followed.size() == expected.size());
+    for (std::size_t item = 0; item < expected.size(); ++item) {
+        BOOST_TEST(followed[item].key == expected[item].key);
+        BOOST_TEST(followed[item].value == expected[item].value);
+        BOOST_TEST(followed[item].revision == expected[item].revision);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_store_restored_from_an_older_copy_is_listed_and_watched)
 {
     this->list(100);
