HTTP server: an answer that its client reads slowly is sent to its end

A client on a slow line got 240 of 400 kB of its answer where the VM had been told to stop.

Cause: a connection that was to end did so one second after the answer had been handed over, sent or not; the time is meant for the client to close its side afterwards. A kept connection counted as idle while its answer was still being sent, and a refusal was reset one second after it had been sent, while the client was still sending its body.

Change: a connection with unsent bytes is neither idle nor lingering. It ends when its client has read nothing for 5 s (stalledTimeout, by what the client's system has acknowledged), and at the end of the grace time. A client that goes on sending is read for up to 5 s.

--- a/include/hickoryshore/entry/entry_vm.h
+++ b/include/hickoryshore/entry/entry_vm.h
@@ -44,6 +44,7 @@
     void onView(const std::shared_ptr<const MembershipView> &view);
     void onRouteTable(const std::shared_ptr<const RouteTable> &table);
     void logMember(const MemberChangedAction &change) const;
+    void recordCutAnswer(const HttpAnswerCut &cut);
     void advanceShutdown();
     std::string metricsText() const;
 
--- a/include/hickoryshore/httpserver/http_listener.h
+++ b/include/hickoryshore/httpserver/http_listener.h
@@ -28,6 +28,8 @@
     Duration requestTimeout{std::chrono::seconds(5)}; ///< From the first byte of a request until it is whole.
     Duration idleTimeout{std::chrono::seconds(60)}; ///< Without a request on an open connection.
     Duration unacknowledgedTimeout{std::chrono::seconds(5)}; ///< A client that takes nothing for so long is gone.
+    Duration stalledTimeout{
+        std::chrono::seconds(5)}; ///< An answer of which the client reads nothing for so long is cut.
 };
 
 /// An answer. Length and connection fields are set by the listener.
@@ -38,6 +40,22 @@
     std::vector<HttpHeader> headers;
     std::string body;
     bool close = false; ///< The connection ends after it.
+    std::string label; ///< Names the answer in HttpListenerHooks::onAnswerCut.
+};
+
+/// Why an answer was cut.
+enum class HttpCutCause {
+    ClientLeft, ///< The client closed or reset the connection.
+    ClientStalled, ///< The client read nothing for stalledTimeout.
+    Ending, ///< cutAnswers()
+};
+
+/// An answer that was not sent whole.
+struct HttpAnswerCut
+{
+    std::string label; ///< See HttpAnswer::label.
+    std::size_t unsentBytes = 0;
+    HttpCutCause cause = HttpCutCause::ClientLeft;
 };
 
 /// What a listener tells; on the loop's thread.
@@ -50,6 +68,9 @@
 
     /// A request was refused by the listener itself, with this status.
     std::function<void(int status)> onRefused;
+
+    /// A connection was closed before an answer was sent whole.
+    std::function<void(const HttpAnswerCut &)> onAnswerCut;
 };
 
 /// One listening address and its connections.
@@ -65,12 +86,18 @@
     /// Answers a request. Later answers to the same call are dropped.
     void answer(HttpCallId call, const HttpAnswer &answer);
 
+    /// Returns the IP address of the client of a request that awaits its answer; empty for any other request.
+    std::string clientAddress(HttpCallId call) const;
+
     /// Changes the bounds; they hold from the next request of each connection on.
     void setBounds(const HttpListenerSettings &settings);
 
     /// From now on each connection ends with its next answer.
     void closeAfterAnswers();
 
+    /// Closes the connections whose answers have not been sent whole, for a process that is about to end.
+    void cutAnswers();
+
     std::size_t connections() const;
 
     /// Connections on which a request is being read or answered, or whose answer has not been sent whole.
@@ -86,10 +113,14 @@
         HttpRequestReader reader;
         std::string outgoing;
         std::size_t sent = 0;
+        std::string label; ///< Of the last answer in `outgoing`.
+        std::size_t unread = 0; ///< Bytes that the client had not taken when its progress was last seen.
+        Instant progressAt; ///< When the client last took bytes of `outgoing`.
         HttpCallId call; ///< Zero: no request awaits its answer.
         bool isHead = false;
         bool closing = false; ///< Ends once everything is sent.
-        Instant since; ///< Begin of the wait for a request, or for the rest of one.
+        Instant since; ///< Begin of the wait for a request, for the rest of one, or for the client's end.
+        Instant endedAt; ///< When everything was sent on a connection that is closing.
         bool inRequest = false; ///< A part of a request has come.
     };
 
@@ -98,9 +129,13 @@
     void receive(Id id, Connection &connection);
     bool process(Id id, Connection &connection, HttpRequestReader::Progress progress);
     void refuse(Id id, Connection &connection, int status);
+    void queue(Connection &connection, std::string_view bytes, std::string_view label);
     void send(Id id, Connection &connection);
     void close(Id id, bool clientLeft);
+    void cut(Id id, HttpCutCause cause);
+    void reportCut(const Connection &connection, HttpCutCause cause) const;
     void checkTimeouts();
+    bool isStalled(Connection &connection, Instant now) const;
 
     EventLoop &loop;
     HttpListenerSettings settings;
--- a/include/hickoryshore/metrics/metrics.h
+++ b/include/hickoryshore/metrics/metrics.h
@@ -39,6 +39,7 @@
     Aggregations, ///< Such calls that this VM served.
     ReplicaReportsSent, ///< To other VMs, of replicas that answer late or fail.
     ReplicaReportsHeard,
+    AnswersCut, ///< Answers of which the client did not read all before its connection ended.
     FramesSent,
     FramesReceived,
     BytesSent,
--- a/src/hickoryshore/entry/entry_vm.cpp
+++ b/src/hickoryshore/entry/entry_vm.cpp
@@ -77,6 +77,19 @@
     }
 }
 
+std::string_view cutCauseName(HttpCutCause cause)
+{
+    switch (cause) {
+    case HttpCutCause::ClientLeft:
+        return "clientLeft";
+    case HttpCutCause::ClientStalled:
+        return "clientStalled";
+    case HttpCutCause::Ending:
+        return "ending";
+    }
+    return "";
+}
+
 std::uint64_t drawSeed()
 {
     std::random_device device;
@@ -188,15 +201,33 @@
                     const ResultCode code = codeOfRefusal(status);
                     this->metrics.countBadInput(code);
                     writeLog({.level = LogLevel::Warn, .slice = slice, .event = "badInput", .resultCode = code});
+                },
+            .onAnswerCut =
+                [this](const HttpAnswerCut &cut) {
+                    this->recordCutAnswer(cut);
                 }};
 }
 
+void EntryVm::recordCutAnswer(const HttpAnswerCut &cut)
+{
+    this->metrics.count(Count::AnswersCut);
+    writeLog({.level = LogLevel::Warn,
+              .slice = slice,
+              .event = "answerCut",
+              .requestId = cut.label,
+              .fields
+              = {{"cause", std::string(cutCauseName(cut.cause))}, {"unsentBytes", std::to_string(cut.unsentBytes)}}});
+}
+
 HttpListenerHooks EntryVm::peerHooks()
 {
     HttpListenerHooks hooks = this->hooksFor(&EntryVm::answerPeer);
     hooks.onClientLeft = [this](HttpCallId call) {
         this->requests.onPeerLeft(call);
     };
+    hooks.onAnswerCut = [this](const HttpAnswerCut &cut) {
+        this->recordCutAnswer(cut);
+    };
     return hooks;
 }
 
@@ -408,6 +439,7 @@
                       .slice = slice,
                       .event = "stopped",
                       .fields = {{"cut", std::to_string(exit->cut)}}});
+            this->callers.cutAnswers();
             this->loop.stop();
         }
     }
--- a/src/hickoryshore/entry/request_service.cpp
+++ b/src/hickoryshore/entry/request_service.cpp
@@ -199,7 +199,9 @@
                          {"path", std::string(pathOf(request.target))},
                          {"version", std::to_string(this->routes.has_value() ? this->routes->table().version : 0)}}});
     const Duration retryAfter = code == ResultCode::Leaving ? retryAfterAtOtherVm : this->hooks.retryAfter();
-    this->hooks.answer(call, this->refusalAnswer(id, code, retryAfter));
+    HttpAnswer refusal = this->refusalAnswer(id, code, retryAfter);
+    refusal.label = id;
+    this->hooks.answer(call, refusal);
 }
 
 void RequestService::refuseRequests()
@@ -353,11 +355,14 @@
     if (finished.forPeer) {
         this->peerCalls.erase(finished.call);
         this->logFinish(finished, outcome, 0);
-        this->hooks.answerPeer(finished.call, this->answerForPeer(finished, outcome));
+        HttpAnswer answer = this->answerForPeer(finished, outcome);
+        answer.label = finished.forwarding->requestId;
+        this->hooks.answerPeer(finished.call, answer);
         return;
     }
     this->callers.erase(finished.call);
-    const HttpAnswer reply = this->answerOf(finished, outcome);
+    HttpAnswer reply = this->answerOf(finished, outcome);
+    reply.label = finished.forwarding->requestId;
     this->metrics.countAnswer(outcome.code);
     const Duration age = monotonicNow() - finished.arrival;
     this->metrics.observe(Latency::Query, age);
--- a/src/hickoryshore/httpserver/http_listener.cpp
+++ b/src/hickoryshore/httpserver/http_listener.cpp
@@ -4,13 +4,16 @@
 #include "hickoryshore/http/http_client.h"
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <stdexcept>
 #include <system_error>
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -24,8 +27,11 @@
 /// As many connections as may wait to be accepted.
 constexpr int backlog = 1024;
 constexpr Duration timeoutCheck = 250ms;
-/// For so long a client may take to close its side after the last answer.
+/// For so long a client may take to close its side after the last answer, without sending anything.
 constexpr Duration lingerTime = 1s;
+/// The same for a client that still sends, mostly the body of a refused request: closing earlier would reset the
+/// connection before the client has read the refusal.
+constexpr Duration maxLingerTime = 5s;
 
 constexpr int statusBadRequest = 400;
 constexpr int statusRequestTimeout = 408;
@@ -90,6 +96,13 @@
     return descriptor;
 }
 
+/// Returns the bytes in the socket's queue that the client has not acknowledged, or zero if the system does not tell.
+std::size_t unacknowledgedBytes(int descriptor)
+{
+    int bytes = 0;
+    return ioctl(descriptor, SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 std::string formatAnswer(const HttpAnswer &answer, bool withBody, bool close)
 {
     std::string message = "HTTP/1.1 " + std::to_string(answer.status) + ' ';
@@ -192,6 +205,7 @@
             return;
         }
         if (connection.closing) {
+            connection.since = monotonicNow();
             continue;
         }
         if (!connection.inRequest) {
@@ -249,7 +263,7 @@
     if (this->hooks.onRefused) {
         this->hooks.onRefused(status);
     }
-    connection.outgoing += formatAnswer({.status = status}, true, true);
+    this->queue(connection, formatAnswer({.status = status}, true, true), {});
     connection.closing = true;
     this->send(id, connection);
 }
@@ -264,7 +278,7 @@
     this->calls.erase(found);
     Connection &connection = this->open.at(id);
     connection.closing = connection.closing || answer.close || this->ending;
-    connection.outgoing += formatAnswer(answer, !connection.isHead, connection.closing);
+    this->queue(connection, formatAnswer(answer, !connection.isHead, connection.closing), answer.label);
     connection.call = {};
     connection.since = monotonicNow();
     this->send(id, connection);
@@ -280,6 +294,30 @@
     }
 }
 
+std::string HttpListener::clientAddress(HttpCallId call) const
+{
+    const auto found = this->calls.find(call);
+    sockaddr_in client{};
+    socklen_t size = sizeof(client);
+    std::array<char, INET_ADDRSTRLEN> text{};
+    if (found == this->calls.end()
+        || getpeername(this->open.at(found->second).descriptor, reinterpret_cast<sockaddr *>(&client), &size) != 0
+        || inet_ntop(AF_INET, &client.sin_addr, text.data(), text.size()) == nullptr) {
+        return {};
+    }
+    return text.data();
+}
+
+void HttpListener::queue(Connection &connection, std::string_view bytes, std::string_view label)
+{
+    if (connection.outgoing.empty()) {
+        connection.progressAt = monotonicNow();
+    }
+    connection.outgoing += bytes;
+    connection.unread += bytes.size();
+    connection.label = label;
+}
+
 void HttpListener::send(Id id, Connection &connection)
 {
     while (connection.sent < connection.outgoing.size()) {
@@ -298,10 +336,12 @@
     }
     connection.outgoing.clear();
     connection.sent = 0;
+    connection.unread = 0;
     if (connection.closing && connection.call.value == 0) {
         // The client reads to the end before the connection is closed: closing with bytes unread would reset it.
         ::shutdown(connection.descriptor, SHUT_WR);
         connection.since = monotonicNow();
+        connection.endedAt = connection.since;
     }
 }
 
@@ -309,6 +349,7 @@
 {
     const auto found = this->open.find(id);
     const HttpCallId call = found->second.call;
+    this->reportCut(found->second, HttpCutCause::ClientLeft);
     this->loop.unwatchStream(found->second.watch, found->second.descriptor);
     ::close(found->second.descriptor);
     this->open.erase(found);
@@ -320,28 +361,86 @@
     }
 }
 
-void HttpListener::checkTimeouts()
+/// Reports an answer that has not been sent whole, if there is one.
+void HttpListener::reportCut(const Connection &connection, HttpCutCause cause) const
 {
-    const Instant now = monotonicNow();
-    std::vector<Id> idle;
-    std::vector<Id> slow;
+    const std::size_t unsent = connection.outgoing.size() - connection.sent;
+    if (unsent > 0 && this->hooks.onAnswerCut) {
+        this->hooks.onAnswerCut({.label = connection.label, .unsentBytes = unsent, .cause = cause});
+    }
+}
+
+/// Closes a connection whose answer has not been sent whole.
+void HttpListener::cut(Id id, HttpCutCause cause)
+{
+    Connection &connection = this->open.at(id);
+    this->reportCut(connection, cause);
+    connection.outgoing.clear();
+    connection.sent = 0;
+    this->close(id, true);
+}
+
+void HttpListener::cutAnswers()
+{
+    std::vector<Id> unsent;
     for (const auto &[id, connection] : this->open) {
-        if (connection.call.value != 0) {
-            continue;
+        if (connection.sent < connection.outgoing.size()) {
+            unsent.push_back(id);
         }
+    }
+    for (const Id id : unsent) {
+        this->cut(id, HttpCutCause::Ending);
+    }
+}
+
+/// Returns whether the client has read nothing of its answer for stalledTimeout.
+bool HttpListener::isStalled(Connection &connection, Instant now) const
+{
+    // The socket takes no more bytes until a part of its queue is free, which a slow client may need long for.
+    const std::size_t unread
+        = connection.outgoing.size() - connection.sent + unacknowledgedBytes(connection.descriptor);
+    if (unread != connection.unread) {
+        connection.unread = unread;
+        connection.progressAt = now;
+    }
+    return now - connection.progressAt > this->settings.stalledTimeout;
+}
+
+void HttpListener::checkTimeouts()
+{
+    const Instant now = monotonicNow();
+    std::vector<Id> ended;
+    std::vector<Id> late;
+    std::vector<Id> stalled;
+    for (auto &[id, connection] : this->open) {
         const Duration waited = now - connection.since;
-        if (connection.closing ? waited > lingerTime : !connection.inRequest && waited > this->settings.idleTimeout) {
-            idle.push_back(id);
-        } else if (!connection.closing && connection.inRequest && waited > this->settings.requestTimeout) {
-            slow.push_back(id);
+        if (connection.sent < connection.outgoing.size()) {
+            if (this->isStalled(connection, now)) {
+                stalled.push_back(id);
+            }
+        } else if (connection.call.value != 0) {
+            continue;
+        } else if (connection.closing) {
+            if (waited > lingerTime || now - connection.endedAt > maxLingerTime) {
+                ended.push_back(id);
+            }
+        } else if (connection.inRequest) {
+            if (waited > this->settings.requestTimeout) {
+                late.push_back(id);
+            }
+        } else if (waited > this->settings.idleTimeout) {
+            ended.push_back(id);
         }
     }
-    for (const Id id : idle) {
+    for (const Id id : ended) {
         this->close(id, false);
     }
-    for (const Id id : slow) {
+    for (const Id id : late) {
         this->refuse(id, this->open.at(id), statusRequestTimeout);
     }
+    for (const Id id : stalled) {
+        this->cut(id, HttpCutCause::ClientStalled);
+    }
 }
 
 void HttpListener::setBounds(const HttpListenerSettings &changed)
--- a/src/hickoryshore/httpserver/http_listener_test.cpp
+++ b/src/hickoryshore/httpserver/http_listener_test.cpp
@@ -21,6 +21,7 @@
 
 constexpr int longestReadMs = 5000;
 constexpr std::size_t longAnswer = std::size_t{16} * 1024 * 1024;
+constexpr Duration stalledTimeout = 1s;
 
 /// Returns a port of the loopback address that was free a moment ago.
 int freePort()
@@ -78,6 +79,16 @@
         return std::exchange(this->received, {});
     }
 
+    /// Reads at most so many bytes that have come.
+    std::size_t readSome(std::size_t bytes)
+    {
+        std::string buffer(bytes, '\0');
+        const ssize_t count = recv(this->descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        const auto read = static_cast<std::size_t>(std::max<ssize_t>(count, 0));
+        this->received.append(buffer, 0, read);
+        return read;
+    }
+
     /// Reads to the end of the connection.
     std::string readAll()
     {
@@ -96,17 +107,22 @@
     EventLoop loop{0};
     std::atomic<int> left = 0;
     std::atomic<int> refused = 0;
+    std::atomic<int> stalled = 0;
+    std::atomic<int> cut = 0;
     HttpListener listener;
     std::thread thread;
 
     Server()
         : listener(this->loop,
                    "127.0.0.1:" + std::to_string(this->port),
-                   {.limits = {.headerBytes = 1000, .bodyBytes = 1000}, .requestTimeout = 300ms, .idleTimeout = 1s},
+                   {.limits = {.headerBytes = 1000, .bodyBytes = 1000},
+                    .requestTimeout = 300ms,
+                    .idleTimeout = 1s,
+                    .stalledTimeout = stalledTimeout},
                    {.onRequest =
                         [this](HttpCallId call, const HttpServerRequest &request) {
                             if (request.target == "/long") {
-                                this->listener.answer(call, {.body = std::string(longAnswer, 'x')});
+                                this->listener.answer(call, {.body = std::string(longAnswer, 'x'), .label = "long"});
                             } else if (request.target != "/wait") {
                                 this->listener.answer(call, {.body = request.target + request.body + "|"});
                             }
@@ -118,6 +134,13 @@
                     .onRefused =
                         [this](int) {
                             ++this->refused;
+                        },
+                    .onAnswerCut =
+                        [this](const HttpAnswerCut &answer) {
+                            BOOST_TEST(answer.label == "long");
+                            BOOST_TEST(answer.unsentBytes > 0U);
+                            ++this->cut;
+                            this->stalled += answer.cause == HttpCutCause::ClientStalled ? 1 : 0;
                         }}),
           thread([this] {
               this->loop.run();
@@ -229,6 +252,72 @@
     this->awaitBusy(0);
 }
 
+// Guards against an answer that is cut off after the time that a client has to close its side, because the client reads
+// it slowly and the connection ends with it.
+BOOST_AUTO_TEST_CASE(a_client_that_reads_slowly_gets_its_last_answer_whole)
+{
+    Client client(this->port);
+    client.send("GET /long HTTP/1.1\r\nConnection: close\r\n\r\n");
+    for (int reads = 0; reads < 10; ++reads) {
+        std::this_thread::sleep_for(stalledTimeout / 4);
+        client.readSome(longAnswer / 32);
+    }
+    const std::string answer = client.readAll();
+    BOOST_TEST(answer.size() > longAnswer);
+    BOOST_TEST(this->cut == 0);
+}
+
+// The same on a connection that is kept, and that counts as idle.
+BOOST_AUTO_TEST_CASE(a_client_that_reads_slowly_is_not_idle)
+{
+    Client client(this->port);
+    client.send("GET /long HTTP/1.1\r\n\r\n");
+    for (int reads = 0; reads < 10; ++reads) {
+        std::this_thread::sleep_for(stalledTimeout / 4);
+        client.readSome(longAnswer / 32);
+    }
+    BOOST_TEST(client.readAll().size() > longAnswer);
+    BOOST_TEST(this->cut == 0);
+}
+
+// Guards against answers that a client never reads and that stay in memory until it leaves.
+BOOST_AUTO_TEST_CASE(an_answer_that_its_client_does_not_read_is_cut_and_reported)
+{
+    Client client(this->port);
+    client.send("GET /long HTTP/1.1\r\nConnection: close\r\n\r\n");
+    for (int tries = 0; tries < 500 && this->cut == 0; ++tries) {
+        std::this_thread::sleep_for(10ms);
+    }
+    BOOST_TEST(this->cut == 1);
+    BOOST_TEST(this->stalled == 1);
+    this->awaitBusy(0);
+    BOOST_TEST(client.readAll().size() < longAnswer);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_is_cut_as_its_client_leaves_is_reported)
+{
+    {
+        Client client(this->port);
+        client.send("GET /long HTTP/1.1\r\n\r\n");
+        this->awaitBusy(1);
+    }
+    this->awaitBusy(0);
+    BOOST_TEST(this->cut == 1);
+    BOOST_TEST(this->stalled == 0);
+}
+
+// Guards against a refusal that is lost, because the connection is reset while the client still sends its body.
+BOOST_AUTO_TEST_CASE(a_client_that_goes_on_sending_its_body_gets_its_refusal)
+{
+    Client client(this->port);
+    client.send("POST /a HTTP/1.1\r\nContent-Length: 2000\r\n\r\n");
+    for (int pieces = 0; pieces < 20; ++pieces) {
+        std::this_thread::sleep_for(100ms);
+        client.send(std::string(100, 'x'));
+    }
+    BOOST_TEST(client.readAll().starts_with("HTTP/1.1 413"));
+}
+
 BOOST_AUTO_TEST_CASE(a_connection_is_busy_while_a_request_is_being_read)
 {
     Client idle(this->port);
