State: an answer of the store that is too long leads to a listing

After seven unreadable entries of 1 MiB no VM heard of a replica for 20 s, and a route that was added served nothing.

Cause: an answer beyond 8 MiB, or one that can't be parsed, counted as "the store did not answer", and the same watch was sent again.

Change: StoreFailure::Unreadable, logged with its reason: the prefix is listed anew, in pages, after the usual delay, and it is no evidence of an outage. Values too long for a replica are emptied as they come in, so that they take no memory and don't lengthen answers to other VMs.

--- a/include/hickoryshore/entry/platform_protocol.h
+++ b/include/hickoryshore/entry/platform_protocol.h
@@ -8,7 +8,9 @@
 #include "hickoryshore/shutdown/entry_points.h"
 #include "hickoryshore/statesync/prefix_follower.h"
 
+#include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -39,6 +41,10 @@
     std::size_t recordBytes = 16; ///< Size of each record that a shard returns.
     std::string configurationKey; ///< Store key of the route table.
     std::string replicaPrefix; ///< Prefix of the store keys under which replicas register.
+
+    /// A longer value under replicaPrefix names no replica, and is not kept.
+    std::size_t maxReplicaBytes = std::numeric_limits<std::size_t>::max();
+
     std::string entryPointPath; ///< Path at which callers request entry points.
     std::string readinessPath;
 
--- a/include/hickoryshore/entry/state_service.h
+++ b/include/hickoryshore/entry/state_service.h
@@ -95,8 +95,8 @@
     void perform(PrefixKind kind);
     void perform(PrefixKind kind, FollowerAction &action);
     void list(PrefixKind kind, const ListKeys &call);
-    template<typename Key>
-    bool hasOnlyOwnKeys(PrefixKind kind, const std::vector<Key> &keys) const;
+    template<typename Entry>
+    bool acceptEntries(PrefixKind kind, std::vector<Entry> &entries) const;
     void watch(PrefixKind kind, const WatchKeys &call);
     void recordCallTarget(PrefixKind kind);
     void checkPause();
--- a/include/hickoryshore/statesync/prefix_follower.h
+++ b/include/hickoryshore/statesync/prefix_follower.h
@@ -28,6 +28,7 @@
 /// Why a call to the store, or to a peer that follows it, failed.
 enum class StoreFailure {
     Unavailable, ///< The store did not answer.
+    Unreadable, ///< The store's answer is too long or malformed.
     PeerUnavailable, ///< A peer did not answer.
     PeerStale, ///< A peer told no changes, but the store has not confirmed its state for long.
     HistoryGone, ///< The changes since the given revision are no longer available.
--- a/src/hickoryshore/entry/state_peers.cpp
+++ b/src/hickoryshore/entry/state_peers.cpp
@@ -52,19 +52,18 @@
 void StateService::checkFreshness()
 {
     const StoreRevision after = this->ownRevision(Replicas);
-    this->store.askChanges(
-        this->prefixes[Replicas].name, after, [this](const Member &peer, const ChangesResult &result) {
-            this->checkPause();
-            const auto *changes = std::get_if<StoreChanges>(&result);
-            if (changes != nullptr && this->hasOnlyOwnKeys(Replicas, changes->changes)) {
-                this->prefixes[Replicas].follower.onPeerChanges(monotonicNow(), *changes, this->actions);
-                this->perform(Replicas);
-            } else if (changes == nullptr && std::get<StoreFailure>(result) == StoreFailure::HistoryGone) {
-                // The peer's history doesn't reach back to this VM's revision, or the store was restored from an older
-                // copy.
-                this->requestStateFrom(peer, Replicas);
-            }
-        });
+    this->store.askChanges(this->prefixes[Replicas].name, after, [this](const Member &peer, ChangesResult result) {
+        this->checkPause();
+        auto *changes = std::get_if<StoreChanges>(&result);
+        if (changes != nullptr && this->acceptEntries(Replicas, changes->changes)) {
+            this->prefixes[Replicas].follower.onPeerChanges(monotonicNow(), std::move(*changes), this->actions);
+            this->perform(Replicas);
+        } else if (changes == nullptr && std::get<StoreFailure>(result) == StoreFailure::HistoryGone) {
+            // The peer's history doesn't reach back to this VM's revision, or the store was restored from an older
+            // copy.
+            this->requestStateFrom(peer, Replicas);
+        }
+    });
 }
 
 void StateService::askPeerIfLate()
@@ -111,7 +110,7 @@
                          {"prefix", this->prefixes[kind].name},
                          {"asOf", page == nullptr ? "" : storeRevisionText(page->asOf)},
                          {"before", storeRevisionText(this->prefixes[kind].follower.asOf())}}});
-    if (page != nullptr && this->hasOnlyOwnKeys(kind, page->items)) {
+    if (page != nullptr && this->acceptEntries(kind, page->items)) {
         this->prefixes[kind].source = peer;
         if (kind == Configuration && page->asOf <= this->prefixes[kind].follower.asOf()) {
             // The follower ignores this state, but the highest version is in force regardless of the store's revision.
--- a/src/hickoryshore/entry/state_service.cpp
+++ b/src/hickoryshore/entry/state_service.cpp
@@ -68,6 +68,26 @@
     return "";
 }
 
+/// Returns the value of an entry, or nullptr if it was removed.
+std::string *valueOf(StoreItem &item)
+{
+    return &item.value;
+}
+
+std::string *valueOf(StoreChange &change)
+{
+    return change.value.has_value() ? &*change.value : nullptr;
+}
+
+void logUnreadableReplica(std::string_view key, std::string_view reason)
+{
+    writeLog({.level = LogLevel::Warn,
+              .slice = slice,
+              .event = "replicaUnreadable",
+              .detail = std::string(reason),
+              .fields = {{"key", std::string(key)}}});
+}
+
 std::string ageText(std::optional<Duration> age)
 {
     return age.has_value() ? std::to_string(ceilMilliseconds(*age)) : std::string();
@@ -195,7 +215,7 @@
         PrefixFollower &follower = this->prefixes[kind].follower;
         this->prefixes[kind].source = this->store.latestCall(this->prefixes[kind].name).source;
         auto *page = std::get_if<StorePage>(&result);
-        if (page != nullptr && this->hasOnlyOwnKeys(kind, page->items)) {
+        if (page != nullptr && this->acceptEntries(kind, page->items)) {
             follower.onPage(monotonicNow(), std::move(*page), this->actions);
         } else {
             follower.onFailure(monotonicNow(), failureOf(result), this->actions);
@@ -233,25 +253,33 @@
 }
 
 /// Returns whether an answer contains only keys of the requested prefix. Otherwise it may be a late copy of the answer
-/// to another call.
-template<typename Key>
-bool StateService::hasOnlyOwnKeys(PrefixKind kind, const std::vector<Key> &keys) const
+/// to another call. Empties values that are too long for a replica, so that they take no memory here or at peers.
+template<typename Entry>
+bool StateService::acceptEntries(PrefixKind kind, std::vector<Entry> &entries) const
 {
     const std::string &prefix = this->prefixes[kind].name;
-    const auto foreign = std::ranges::find_if(keys, [&prefix](const Key &key) {
-        return !key.key.starts_with(prefix);
+    const auto foreign = std::ranges::find_if(entries, [&prefix](const Entry &entry) {
+        return !entry.key.starts_with(prefix);
     });
-    if (foreign != keys.end()) {
+    if (foreign != entries.end()) {
         writeLog({.level = LogLevel::Error,
                   .slice = slice,
                   .event = "foreignKeys",
                   .fields = {{"prefix", prefix}, {"key", foreign->key}}});
+        return false;
     }
-    return foreign == keys.end();
+    for (Entry &entry : entries) {
+        std::string *value = valueOf(entry);
+        if (kind == Replicas && value != nullptr && value->size() > this->protocol.maxReplicaBytes) {
+            logUnreadableReplica(entry.key, "entry of " + std::to_string(value->size()) + " bytes");
+            *value = std::string();
+        }
+    }
+    return true;
 }
 
-template bool StateService::hasOnlyOwnKeys(PrefixKind kind, const std::vector<StoreItem> &keys) const;
-template bool StateService::hasOnlyOwnKeys(PrefixKind kind, const std::vector<StoreChange> &keys) const;
+template bool StateService::acceptEntries(PrefixKind kind, std::vector<StoreItem> &entries) const;
+template bool StateService::acceptEntries(PrefixKind kind, std::vector<StoreChange> &entries) const;
 
 void StateService::watch(PrefixKind kind, const WatchKeys &call)
 {
@@ -260,7 +288,7 @@
         PrefixFollower &follower = this->prefixes[kind].follower;
         this->prefixes[kind].source = this->store.latestCall(this->prefixes[kind].name).source;
         auto *changes = std::get_if<StoreChanges>(&result);
-        if (changes != nullptr && this->hasOnlyOwnKeys(kind, changes->changes)) {
+        if (changes != nullptr && this->acceptEntries(kind, changes->changes)) {
             follower.onChanges(monotonicNow(), std::move(*changes), this->actions);
         } else {
             follower.onFailure(monotonicNow(), failureOf(result), this->actions);
@@ -374,11 +402,7 @@
         }
         replica.record = this->protocol.parseReplica(text);
     } catch (const std::invalid_argument &error) {
-        writeLog({.level = LogLevel::Warn,
-                  .slice = slice,
-                  .event = "replicaUnreadable",
-                  .detail = error.what(),
-                  .fields = {{"key", std::string(key)}}});
+        logUnreadableReplica(key, error.what());
     }
     return replica;
 }
@@ -409,7 +433,7 @@
             auto *page = std::get_if<StorePage>(&result);
             // A failed listing is not retried: the follower's own call ends eventually.
             auto progress = PagedListing::Progress::EraChanged;
-            if (page != nullptr && this->hasOnlyOwnKeys(kind, page->items)) {
+            if (page != nullptr && this->acceptEntries(kind, page->items)) {
                 progress = listing.add(now, std::move(*page));
             }
             if (progress == PagedListing::Progress::NeedsMore) {
--- a/src/hickoryshore/statesync/prefix_follower.cpp
+++ b/src/hickoryshore/statesync/prefix_follower.cpp
@@ -305,6 +305,13 @@
         }
         return;
     }
+    if (failure == StoreFailure::Unreadable) {
+        this->onCallAnswered(now, actions);
+        // The same watch would bring the same answer, while the pages of a listing are short.
+        this->mustList = true;
+        this->backOff(now);
+        return;
+    }
     if (failure == StoreFailure::Unavailable) {
         this->storeSilentSince = this->unansweredSince();
     }
--- a/src/hickoryshore/statesync/prefix_follower_test.cpp
+++ b/src/hickoryshore/statesync/prefix_follower_test.cpp
@@ -160,6 +160,22 @@
     BOOST_TEST(this->take<ListKeys>().size() == 1);
 }
 
+// Guards against a watch that is sent again and again, although its answer is longer than any that is read.
+BOOST_AUTO_TEST_CASE(an_unreadable_answer_leads_to_a_new_listing_and_is_no_outage)
+{
+    this->list(10);
+    const Instant failed = start + PrefixFollower::minOutage + 1s;
+    this->follower.onFailure(failed, StoreFailure::Unreadable, this->actions);
+    BOOST_TEST(!this->follower.isCutOff());
+    const Instant retry = this->follower.nextTimer().value();
+    BOOST_TEST((retry > failed && retry <= failed + 100ms));
+    this->actions.clear();
+    this->follower.onTimer(retry, this->actions);
+    BOOST_TEST(this->take<ListKeys>().size() == 1U);
+    this->follower.onPage(retry, {.items = {{"b", "2", 4}}, .asOf = {0, 12}}, this->actions);
+    BOOST_TEST(this->take<WatchKeys>().at(0).after.number == 12U);
+}
+
 BOOST_AUTO_TEST_CASE(removals_after_a_store_outage_are_marked)
 {
     this->list(10);
