--- a/src/hickoryshore/systemtest/relay.cpp
+++ b/src/hickoryshore/systemtest/relay.cpp
@@ -95,6 +95,12 @@
     this->sockets.push_back({descriptor, to.party, socketAddress(to.target, to.port)});
 }
 
+void Relay::sendFrom(const Party &party, const std::string &address)
+{
+    const std::lock_guard lock(this->mutex);
+    this->sourceAddresses[party] = address;
+}
+
 void Relay::setProcess(const Party &party, int processId)
 {
     const std::lock_guard lock(this->mutex);
@@ -284,6 +290,13 @@
     }
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     sendAtOnce(descriptor);
+    const auto source = this->sourceAddresses.find(connection.parties[0]);
+    if (source != this->sourceAddresses.end()) {
+        const sockaddr_in local = socketAddress(source->second, 0);
+        if (bind(descriptor, reinterpret_cast<const sockaddr *>(&local), sizeof(local)) != 0) {
+            throw std::system_error(errno, std::generic_category(), "relay from " + source->second);
+        }
+    }
     const sockaddr_in target = socketAddress(connection.target, connection.port);
     const int result = ::connect(descriptor, reinterpret_cast<const sockaddr *>(&target), sizeof(target));
     connection.descriptors[1] = descriptor;
--- a/src/hickoryshore/systemtest/relay.h
+++ b/src/hickoryshore/systemtest/relay.h
@@ -52,6 +52,9 @@
     /// datagrams arrive as from its relayed one. Throws std::system_error.
     void relayUdp(const RelayedAddress &to);
 
+    /// Makes the connections that the party opens from now on reach their targets from this IP number.
+    void sendFrom(const Party &party, const std::string &address);
+
     /// Tells which process a party is from now on.
     void setProcess(const Party &party, int processId);
 
@@ -104,6 +107,7 @@
     std::vector<UdpSocket> sockets;
     std::vector<RelayConnection> connections;
     std::map<Party, int> processes;
+    std::map<Party, std::string> sourceAddresses;
     std::set<std::pair<Party, Party>> cuts; ///< From, to.
     std::thread thread;
 };
