State: after an unreadable watch the listing comes from the store

Change: the listing after an unreadable watch of the store goes to the store, and the next watch keeps its distance from the last one.

--- a/include/hickoryshore/entry/store_sharing.h
+++ b/include/hickoryshore/entry/store_sharing.h
@@ -97,11 +97,12 @@
         std::uint64_t turn = 0; ///< See storeSource().
         SourceFailures failures;
         StoreCall latestCall;
+        bool listAtStore = false; ///< A watch of the store was unreadable. Peers may not have these changes either.
     };
 
     PrefixSource &sourceOf(std::string_view prefix);
     template<typename State>
-    void recordOutcome(std::string_view prefix, const std::variant<State, StoreFailure> &result);
+    void recordOutcome(PrefixSource &source, const std::variant<State, StoreFailure> &result);
 
     EventLoop &loop;
     StoreAccess store;
--- a/src/hickoryshore/entry/store_sharing.cpp
+++ b/src/hickoryshore/entry/store_sharing.cpp
@@ -237,7 +237,7 @@
     std::optional<Member> peer;
     if (this->members != nullptr) {
         source.turn += rotate ? 1 : 0;
-        peer = storeSource(*this->members, source.failures, source.turn);
+        peer = source.listAtStore ? std::nullopt : storeSource(*this->members, source.failures, source.turn);
     }
     source.latestCall
         = {.source = peer.has_value() ? peer->vm.value : std::string(storeSourceName), .startedAt = monotonicNow()};
@@ -251,9 +251,9 @@
 }
 
 template<typename State>
-void StoreSharing::recordOutcome(std::string_view prefix, const std::variant<State, StoreFailure> &result)
+void StoreSharing::recordOutcome(PrefixSource &source, const std::variant<State, StoreFailure> &result)
 {
-    SourceFailures &failures = this->sourceOf(prefix).failures;
+    SourceFailures &failures = source.failures;
     const auto *failure = std::get_if<StoreFailure>(&result);
     if (failure != nullptr && *failure != StoreFailure::HistoryGone) {
         ++failures.failed;
@@ -336,7 +336,9 @@
 void StoreSharing::list(std::string_view prefix, std::string_view after, std::function<void(PageResult)> completion)
 {
     auto counted = [this, listed = std::string(prefix), completion = std::move(completion)](PageResult result) {
-        this->recordOutcome(listed, result);
+        PrefixSource &source = this->sourceOf(listed);
+        source.listAtStore = false;
+        this->recordOutcome(source, result);
         completion(std::move(result));
     };
     // Only the store returns listings in pages, so the next page comes from the store. A listing that follows a watch
@@ -355,7 +357,12 @@
                          std::function<void(ChangesResult)> completion)
 {
     auto counted = [this, watched = std::string(prefix), completion = std::move(completion)](ChangesResult result) {
-        this->recordOutcome(watched, result);
+        PrefixSource &source = this->sourceOf(watched);
+        const auto *failure = std::get_if<StoreFailure>(&result);
+        source.listAtStore = failure != nullptr && *failure == StoreFailure::Unreadable;
+        if (!source.listAtStore) {
+            this->recordOutcome(source, result);
+        }
         const auto *changes = std::get_if<StoreChanges>(&result);
         if (changes != nullptr && changes->changes.empty() && changes->age > maxSourceAge) {
             result = StoreFailure::PeerStale;
--- a/src/hickoryshore/statesync/prefix_follower.cpp
+++ b/src/hickoryshore/statesync/prefix_follower.cpp
@@ -291,6 +291,13 @@
 void PrefixFollower::onFailure(Instant now, StoreFailure failure, std::vector<FollowerAction> &actions)
 {
     this->listing.clear();
+    if (failure == StoreFailure::Unreadable) {
+        this->onCallAnswered(now, actions);
+        // The same watch would bring the same answer, while the pages of a listing are short.
+        this->mustList = true;
+        this->backOff(now);
+        return;
+    }
     this->watchedAt = {};
     if (failure == StoreFailure::HistoryGone) {
         this->onCallAnswered(now, actions);
@@ -305,13 +312,6 @@
         }
         return;
     }
-    if (failure == StoreFailure::Unreadable) {
-        this->onCallAnswered(now, actions);
-        // The same watch would bring the same answer, while the pages of a listing are short.
-        this->mustList = true;
-        this->backOff(now);
-        return;
-    }
     if (failure == StoreFailure::Unavailable) {
         this->storeSilentSince = this->unansweredSince();
     }
--- a/src/hickoryshore/statesync/prefix_follower_test.cpp
+++ b/src/hickoryshore/statesync/prefix_follower_test.cpp
@@ -174,6 +174,15 @@
     BOOST_TEST(this->take<ListKeys>().size() == 1U);
     this->follower.onPage(retry, {.items = {{"b", "2", 4}}, .asOf = {0, 12}}, this->actions);
     BOOST_TEST(this->take<WatchKeys>().at(0).after.number == 12U);
+    // A writer that goes on does not make listings more frequent than watches.
+    const Instant again = retry + 10ms;
+    this->follower.onFailure(again, StoreFailure::Unreadable, this->actions);
+    const Instant secondRetry = this->follower.nextTimer().value();
+    this->follower.onTimer(secondRetry, this->actions);
+    this->actions.clear();
+    this->follower.onPage(secondRetry, {.items = {{"b", "2", 4}}, .asOf = {0, 14}}, this->actions);
+    BOOST_TEST(this->take<WatchKeys>().empty());
+    BOOST_TEST((this->follower.nextTimer().value() >= retry + PrefixFollower::watchInterval));
 }
 
 BOOST_AUTO_TEST_CASE(removals_after_a_store_outage_are_marked)
