Listener test: no check on the loop's thread

Boost.Test's checks are not thread-safe, and the hook of cut answers runs on the loop's thread: ThreadSanitizer would report it. The same is counted and checked on the test's thread.

--- a/src/hickoryshore/httpserver/http_listener_test.cpp
+++ b/src/hickoryshore/httpserver/http_listener_test.cpp
@@ -137,9 +137,7 @@
                         },
                     .onAnswerCut =
                         [this](const HttpAnswerCut &answer) {
-                            BOOST_TEST(answer.label == "long");
-                            BOOST_TEST(answer.unsentBytes > 0U);
-                            ++this->cut;
+                            this->cut += answer.label == "long" && answer.unsentBytes > 0 ? 1 : 0;
                             this->stalled += answer.cause == HttpCutCause::ClientStalled ? 1 : 0;
                         }}),
           thread([this] {
