--- a/src/hickoryshore/statesync/prefix_follower.cpp
+++ b/src/hickoryshore/statesync/prefix_follower.cpp
@@ -29,11 +29,6 @@
 
 } // namespace
 
-std::string storeRevisionText(const StoreRevision &revision)
-{
-    return std::to_string(revision.era) + "." + std::to_string(revision.number);
-}
-
 PrefixFollower::PrefixFollower(std::uint64_t seed) : random(seededGenerator(seed))
 { }
 
