Entry: all attempts of a request share one copy of its body

Ruled out: the bodies themselves, which are bounded one by one; the replicas' answers, as none came.

Change: the rest of the header and the body are one string that all attempts share (HttpExchange::sharedTail); what is sent whole is let go, since nothing is sent twice. A tail of up to 4 KB is still copied, so that such a request goes out in one piece. Requests above 32 KB are not sent to aggregators: their parts go to the replicas directly.

--- a/include/hickoryshore/entry/request_service.h
+++ b/include/hickoryshore/entry/request_service.h
@@ -33,6 +33,9 @@
 /// Path of requests between VMs for several parts of a caller's request.
 inline constexpr std::string_view aggregatePath = "/v1/aggregate";
 
+/// Parts of longer requests are requested from the replicas directly, since each aggregator would get a copy.
+inline constexpr std::size_t maxGroupedRequestBytes = std::size_t{32} * 1024;
+
 /// Callbacks from a RequestService to its VM.
 struct RequestHooks
 {
@@ -102,13 +105,12 @@
     ReplicasByRegion replicasByRegion() const;
 
 private:
-    /// The bytes of a forwarded request. Its attempts differ only in the remaining time and the expected replica, which
-    /// go between head and tail.
+    /// The begin of a forwarded request. Its attempts differ only in the remaining time and the expected replica, which
+    /// go between the head and ActiveRequest::tail.
     struct Forwarding
     {
         std::string requestId;
         std::string head; ///< Request line and header fields.
-        std::string tail; ///< The rest of the header, and the body.
         bool isHead = false; ///< Whether the method is HEAD.
     };
 
@@ -142,6 +144,7 @@
         const Route *route = nullptr;
         Instant arrival;
         std::shared_ptr<const Forwarding> forwarding;
+        std::shared_ptr<const std::string> tail; ///< The rest of the header, and the body; one copy for all attempts.
         std::shared_ptr<RouteLatency> latency;
         std::unique_ptr<RequestRun> run;
         std::unordered_map<AttemptId, UpstreamHttpResponse> replies;
@@ -175,7 +178,7 @@
     void refuse(HttpCallId call, const HttpServerRequest &request, ResultCode code);
     void begin(HttpCallId call, const Route &route, const HttpServerRequest &request);
     RunSettings runSettings(const Route &route, Instant now, Duration remaining);
-    std::vector<ActiveGroup> planGroups(RunSettings &run, Instant now, const RouteLatency &latency);
+    std::vector<ActiveGroup> planGroups(RunSettings &run, Instant now, const ActiveRequest &started);
     std::shared_ptr<RouteLatency> latencyForPeer(const RouteId &route, Duration remaining);
     std::shared_ptr<const Forwarding> forwardingOf(const HttpServerRequest &request) const;
     std::shared_ptr<RouteLatency> latencyOf(const Route &route);
@@ -188,7 +191,8 @@
     std::optional<std::string> requestBytes(const Forwarding &forwarding,
                                             EndpointId endpoint,
                                             std::string_view replica,
-                                            Instant deadline) const;
+                                            Instant deadline,
+                                            std::string_view smallTail) const;
     void send(RunId id, ActiveRequest &active, const SendAttempt &action);
     void recordAttempt(ActiveRequest &active, const SendAttempt &action, const Replica &replica);
     void sendGroup(RunId id, ActiveRequest &active, const SendGroup &action);
--- a/include/hickoryshore/upstream/http_connections.h
+++ b/include/hickoryshore/upstream/http_connections.h
@@ -76,6 +76,10 @@
     /// is not to be sent any more. Empty: `request` stands already.
     std::function<std::optional<std::string>()> makeRequest;
 
+    /// Sent behind the request, by several exchanges without a copy for each; may be empty. It is let go once it is
+    /// sent.
+    std::shared_ptr<const std::string> sharedTail;
+
     Duration timeout{0};
     bool proven = false; ///< Only over a new connection or one proven alive.
     bool waits = false; ///< Waits for a connection where all that the bound allows are in use, rather than fail.
@@ -161,7 +165,8 @@
         Instant deadline; ///< Of the exchange, of the opening, or of being idle.
         std::optional<HttpExchange> exchange;
         Id exchangeId = 0;
-        std::size_t sent = 0;
+        std::size_t sent = 0; ///< Bytes of the request, and of the shared tail once that is whole.
+        bool sentWhole = false;
         HttpResponseReader reader;
     };
 
--- a/src/hickoryshore/entry/request_attempts.cpp
+++ b/src/hickoryshore/entry/request_attempts.cpp
@@ -17,6 +17,8 @@
 constexpr Duration maxOrphanAge = 400ms;
 /// Buffer space for the header fields that this VM adds.
 constexpr std::size_t addedHeaderBytes = 128;
+/// A longer rest of a request is not copied for each attempt.
+constexpr std::size_t maxCopiedTailBytes = std::size_t{4} * 1024;
 /// Limit of the body of one part of a merged answer: this many times the requested records, but not less than
 /// minPartByteLimit. Longer bodies are not valid parts.
 constexpr std::size_t maxRecordsFactor = 32;
@@ -47,12 +49,13 @@
 
 } // namespace
 
-/// Returns the bytes to send to a replica now, or std::nullopt if the deadline has passed or the replica no longer
-/// accepts requests.
+/// Returns the bytes to send to a replica now, with this tail, or std::nullopt if the deadline has passed or the
+/// replica no longer accepts requests.
 std::optional<std::string> RequestService::requestBytes(const Forwarding &forwarding,
                                                         EndpointId endpoint,
                                                         std::string_view replica,
-                                                        Instant deadline) const
+                                                        Instant deadline,
+                                                        std::string_view smallTail) const
 {
     const Instant now = monotonicNow();
     const Duration remaining = deadline - now;
@@ -60,11 +63,11 @@
         return std::nullopt;
     }
     std::string bytes;
-    bytes.reserve(forwarding.head.size() + forwarding.tail.size() + addedHeaderBytes);
+    bytes.reserve(forwarding.head.size() + addedHeaderBytes + smallTail.size());
     bytes = forwarding.head;
     appendHeader(bytes, this->protocol.headers.remainingMilliseconds, milliseconds(remaining));
     appendHeader(bytes, this->protocol.headers.expectedReplica, replica);
-    bytes += forwarding.tail;
+    bytes += smallTail;
     return bytes;
 }
 
@@ -96,12 +99,16 @@
     const Replica &replica = this->replicas.at(action.endpoint);
     const Forwarding &forwarding = *request.forwarding;
     HttpExchange exchange;
+    // A short tail is copied, so that the request goes out in one piece.
+    const bool isShort = request.tail->size() <= maxCopiedTailBytes;
+    exchange.sharedTail = isShort ? nullptr : request.tail;
     exchange.makeRequest = [this,
                             shared = request.forwarding,
                             endpoint = action.endpoint,
                             name = replica.name,
-                            deadline = monotonicNow() + action.remaining] {
-        return this->requestBytes(*shared, endpoint, name, deadline);
+                            deadline = monotonicNow() + action.remaining,
+                            tail = isShort ? *request.tail : std::string()] {
+        return this->requestBytes(*shared, endpoint, name, deadline, tail);
     };
     exchange.timeout = action.remaining + maxOrphanAge;
     exchange.proven = action.provenConnection;
--- a/src/hickoryshore/entry/request_groups.cpp
+++ b/src/hickoryshore/entry/request_groups.cpp
@@ -83,9 +83,13 @@
 
 std::vector<RequestService::ActiveGroup> RequestService::planGroups(RunSettings &run,
                                                                     Instant now,
-                                                                    const RouteLatency &latency)
+                                                                    const ActiveRequest &started)
 {
     std::vector<ActiveGroup> groups;
+    if (started.forwarding->head.size() + started.tail->size() > maxGroupedRequestBytes) {
+        return groups;
+    }
+    const RouteLatency &latency = *started.latency;
     DataCentreSet eligible = this->aggregators.dataCentres(now);
     for (DataCentreIndex dataCentreIndex = 0; dataCentreIndex < maxDataCentres; ++dataCentreIndex) {
         if ((eligible & dataCentreBit(dataCentreIndex)) != 0
@@ -121,7 +125,7 @@
     wire.set_request_id(request.forwarding->requestId);
     wire.set_route(request.route->name.value);
     wire.set_head(request.forwarding->head);
-    wire.set_tail(request.forwarding->tail);
+    wire.set_tail(*request.tail);
     for (const std::size_t part : group.parts) {
         wire.add_services(request.route->shards[part].value);
     }
@@ -251,10 +255,9 @@
     started.latency = this->latencyForPeer(route.name, run.deadline - now);
     started.ownRoute = std::make_shared<const Route>(std::move(route));
     started.route = started.ownRoute.get();
-    started.forwarding = std::make_shared<Forwarding>(Forwarding{.requestId = wire.request_id(),
-                                                                 .head = wire.head(),
-                                                                 .tail = wire.tail(),
-                                                                 .isHead = wire.head().starts_with("HEAD ")});
+    started.forwarding = std::make_shared<Forwarding>(
+        Forwarding{.requestId = wire.request_id(), .head = wire.head(), .isHead = wire.head().starts_with("HEAD ")});
+    started.tail = std::make_shared<const std::string>(std::move(*wire.mutable_tail()));
     this->metrics.count(Count::Aggregations);
     this->start(id, started, std::move(run));
 }
--- a/src/hickoryshore/entry/request_service.cpp
+++ b/src/hickoryshore/entry/request_service.cpp
@@ -33,6 +33,8 @@
 constexpr int connectionsPerPeer = 8;
 /// Shorter than the idle timeout of the other VM, so that it doesn't close a connection just as it is reused.
 constexpr Duration peerIdleLimit = 30s;
+/// Room for a length field and the end of a header.
+constexpr std::size_t lengthFieldBytes = 48;
 constexpr std::string_view slice = "entry";
 
 HttpConnectionSettings connectionSettings(std::size_t memoryBytes)
@@ -61,6 +63,18 @@
     return std::chrono::milliseconds(std::clamp<std::int64_t>(milliseconds, 0, maxCallerWait / 1ms));
 }
 
+/// Returns what follows the header fields of a forwarded request: its length, and the body.
+std::string tailOf(const HttpServerRequest &request)
+{
+    std::string tail;
+    tail.reserve(request.body.size() + lengthFieldBytes);
+    if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD")) {
+        appendHeader(tail, "Content-Length", std::to_string(request.body.size()));
+    }
+    tail.append("\r\n").append(request.body);
+    return tail;
+}
+
 } // namespace
 
 RequestService::RequestService(EventLoop &loop,
@@ -271,10 +285,6 @@
             appendHeader(head, header.name, header.value);
         }
     }
-    if (!request.body.empty() || (request.method != "GET" && !forwarding->isHead)) {
-        appendHeader(forwarding->tail, "Content-Length", std::to_string(request.body.size()));
-    }
-    forwarding->tail.append("\r\n").append(request.body);
     return forwarding;
 }
 
@@ -291,10 +301,11 @@
     started.route = &route;
     started.arrival = now;
     started.forwarding = this->forwardingOf(request);
+    started.tail = std::make_shared<const std::string>(tailOf(request));
     started.latency = this->latencyOf(route);
     RunSettings run = this->runSettings(route, now, remaining);
     if (run.merged) {
-        started.groups = this->planGroups(run, now, *started.latency);
+        started.groups = this->planGroups(run, now, started);
     }
     this->start(id, started, std::move(run));
 }
--- a/src/hickoryshore/upstream/http_connections.cpp
+++ b/src/hickoryshore/upstream/http_connections.cpp
@@ -285,8 +285,7 @@
         if (!readiness.writable || !this->finishOpening(id, connection)) {
             return;
         }
-    } else if (readiness.writable && connection.exchange.has_value()
-               && connection.sent < connection.exchange->request.size()) {
+    } else if (readiness.writable && connection.exchange.has_value() && !connection.sentWhole) {
         this->sendMore(id, connection);
     }
     // Sending may have failed and closed it.
@@ -346,6 +345,7 @@
 void HttpConnections::beginSending(Id id, Connection &connection)
 {
     connection.sent = 0;
+    connection.sentWhole = false;
     connection.sentAt = monotonicNow();
     if (connection.exchange->makeRequest) {
         std::optional<std::string> request = connection.exchange->makeRequest();
@@ -396,10 +396,14 @@
 
 void HttpConnections::sendMore(Id id, Connection &connection)
 {
-    const std::string &request = connection.exchange->request;
-    while (connection.sent < request.size()) {
-        const ssize_t count = ::send(
-            connection.descriptor, request.data() + connection.sent, request.size() - connection.sent, MSG_NOSIGNAL);
+    HttpExchange &exchange = *connection.exchange;
+    const std::size_t requestBytes = exchange.request.size();
+    const std::size_t total = requestBytes + (exchange.sharedTail == nullptr ? 0 : exchange.sharedTail->size());
+    while (connection.sent < total) {
+        const std::string_view left = connection.sent < requestBytes
+            ? std::string_view(exchange.request).substr(connection.sent)
+            : std::string_view(*exchange.sharedTail).substr(connection.sent - requestBytes);
+        const ssize_t count = ::send(connection.descriptor, left.data(), left.size(), MSG_NOSIGNAL);
         if (count >= 0) {
             connection.sent += static_cast<std::size_t>(count);
         } else if (errno == EAGAIN) {
@@ -409,6 +413,10 @@
             return;
         }
     }
+    connection.sentWhole = true;
+    // It is not sent again, and the response may be long in coming.
+    exchange.request = {};
+    exchange.sharedTail.reset();
 }
 
 void HttpConnections::receive(Id id, Connection &connection, bool ended)
@@ -493,9 +501,8 @@
     HttpExchange exchange = std::move(*connection.exchange);
     connection.exchange.reset();
     this->inUse.erase(connection.exchangeId);
-    const bool sentWhole = connection.sent == exchange.request.size();
     // Idle before the completion runs, so that this can hand over the next exchange to the connection.
-    if (end.response.keepAlive && sentWhole && !ended && !connection.sawForeign) {
+    if (end.response.keepAlive && connection.sentWhole && !ended && !connection.sawForeign) {
         connection.lastAlive = monotonicNow();
         const Duration idle = end.response.idleTimeout.value_or(this->settings.idleLimit);
         this->setDeadline(id, connection, connection.lastAlive + std::min(idle, this->settings.idleLimit));
