HTTP server: the next request is read once the answer before it is sent

Ruled out: the replicas' answers that are being read, which are bounded together.

Change: a connection takes its next request when everything before it has been handed to the system. Behind a request in work or an unread answer at most 4 KB are read; the rest stays in the socket, whose queue the system bounds. Before, up to a whole further request was kept. A client that leaves meanwhile is noticed by the end of its side, as before. HttpRequestReader no longer copies what the parser takes at once, and does not move the rest to the front for each of many short requests.

The same loop also read one connection for as long as its client sent fast enough, a refused one too: 256 KB a turn now, and a refused client is cut once it has sent another largest request.

--- a/include/hickoryshore/http1/http_exchange.h
+++ b/include/hickoryshore/http1/http_exchange.h
@@ -141,6 +141,9 @@
     /// Whether a part of a request has been received.
     bool hasBegun() const;
 
+    /// Returns the number of received bytes that belong to no complete request and that the parser has not taken.
+    std::size_t heldBytes() const;
+
 private:
     struct State;
     std::unique_ptr<State> state;
--- a/include/hickoryshore/httpserver/http_listener.h
+++ b/include/hickoryshore/httpserver/http_listener.h
@@ -115,10 +115,13 @@
         std::size_t sent = 0;
         std::string label; ///< Of the last answer in `outgoing`.
         std::size_t unread = 0; ///< Bytes that the client had not taken when its progress was last seen.
-        Instant progressAt; ///< When the client last took bytes of `outgoing`.
+        Instant progressAt; ///< When the client last sent bytes, or took bytes of `outgoing`.
         HttpCallId call; ///< Zero: no request awaits its answer.
+        std::size_t discarded = 0; ///< Bytes received on a connection that is closing.
         bool isHead = false;
         bool closing = false; ///< Ends once everything is sent.
+        bool paused = false; ///< What has come is left in the socket until the answer is sent.
+        bool resuming = false; ///< resume() will be called.
         Instant since; ///< Begin of the wait for a request, for the rest of one, or for the client's end.
         Instant endedAt; ///< When everything was sent on a connection that is closing.
         bool inRequest = false; ///< A part of a request has come.
@@ -127,15 +130,22 @@
     void accept();
     void onReady(Id id, Readiness readiness);
     void receive(Id id, Connection &connection);
+    bool take(Id id, Connection &connection, std::string_view bytes);
+    bool discard(Id id, Connection &connection, std::size_t bytes);
     bool process(Id id, Connection &connection, HttpRequestReader::Progress progress);
-    void refuse(Id id, Connection &connection, int status);
-    void queue(Connection &connection, std::string_view bytes, std::string_view label);
+    void resumeSoon(Id id, Connection &connection);
+    void resume(Id id);
+    bool mustPause(const Connection &connection) const;
+    void refuse(Id id, Connection &connection, const HttpAnswer &refusal);
+    void queue(Connection &connection, std::string bytes, std::string_view label);
     void send(Id id, Connection &connection);
+    void onSent(Id id, Connection &connection);
     void close(Id id, bool clientLeft);
     void cut(Id id, HttpCutCause cause);
     void reportCut(const Connection &connection, HttpCutCause cause) const;
     void checkTimeouts();
     bool isStalled(Connection &connection, Instant now) const;
+    static bool isBusy(const Connection &connection);
 
     EventLoop &loop;
     HttpListenerSettings settings;
--- a/src/hickoryshore/http1/http_request_reader.cpp
+++ b/src/hickoryshore/http1/http_request_reader.cpp
@@ -40,9 +40,43 @@
 {
     HttpRequestLimits limits;
     std::optional<http::request_parser<http::string_body>> parser;
-    std::string pending; ///< Received, but not taken by the parser yet.
+    std::string pending; ///< Received, but not taken by the parser yet, from `taken` on.
+    std::size_t taken = 0;
+
+    void keep(std::string_view left, bool joined);
+    Progress progress(const boost::beast::error_code &error, std::size_t left) const;
 };
 
+/// Keeps the bytes that the parser did not take. `joined` tells that they are the end of `pending`.
+void HttpRequestReader::State::keep(std::string_view left, bool joined)
+{
+    if (!joined || left.empty()) {
+        this->pending = std::string(left);
+        this->taken = 0;
+        return;
+    }
+    this->taken = this->pending.size() - left.size();
+    // Moving the rest to the front for each of many short requests would copy it as many times.
+    if (this->taken > left.size()) {
+        this->pending = std::string(left);
+        this->taken = 0;
+    }
+}
+
+/// Returns what the parser has come to. `left` is the number of bytes that it did not take.
+HttpRequestReader::Progress HttpRequestReader::State::progress(const boost::beast::error_code &error,
+                                                               std::size_t left) const
+{
+    if (error && error != http::error::need_more) {
+        return progressOfError(error);
+    }
+    if (!this->parser->is_done() && left > this->limits.headerBytes) {
+        // After the head it is the size line of a chunk, or trailers.
+        return this->parser->is_header_done() ? Progress::Malformed : Progress::HeaderTooLarge;
+    }
+    return this->parser->is_done() ? Progress::Complete : Progress::NeedsMore;
+}
+
 HttpRequestReader::HttpRequestReader(HttpRequestLimits limits) : state(std::make_unique<State>())
 {
     this->state->limits = limits;
@@ -56,8 +90,12 @@
 {
     auto &parser = this->state->parser;
     std::string &pending = this->state->pending;
-    pending.append(bytes);
-    if (pending.empty()) {
+    const bool joined = !pending.empty();
+    if (joined) {
+        pending.append(bytes);
+        bytes = std::string_view(pending).substr(this->state->taken);
+    }
+    if (bytes.empty()) {
         return Progress::NeedsMore;
     }
     if (!parser.has_value()) {
@@ -68,20 +106,12 @@
         parser->body_limit(this->state->limits.bodyBytes);
     }
     boost::beast::error_code error;
-    std::string_view left = pending;
-    while (!left.empty() && !parser->is_done() && !error) {
-        left.remove_prefix(parser->put(boost::asio::buffer(left.data(), left.size()), error));
-    }
-    if (error && error != http::error::need_more) {
-        return progressOfError(error);
+    while (!bytes.empty() && !parser->is_done() && !error) {
+        bytes.remove_prefix(parser->put(boost::asio::buffer(bytes.data(), bytes.size()), error));
     }
-    const bool tooLong = !parser->is_done() && left.size() > this->state->limits.headerBytes;
-    pending.erase(0, pending.size() - left.size());
-    if (tooLong) {
-        // After the head it is the size line of a chunk, or trailers.
-        return parser->is_header_done() ? Progress::Malformed : Progress::HeaderTooLarge;
-    }
-    return parser->is_done() ? Progress::Complete : Progress::NeedsMore;
+    const std::size_t left = bytes.size();
+    this->state->keep(bytes, joined);
+    return this->state->progress(error, left);
 }
 
 HttpServerRequest HttpRequestReader::release()
@@ -99,10 +129,15 @@
     return request;
 }
 
+std::size_t HttpRequestReader::heldBytes() const
+{
+    return this->state->pending.size() - this->state->taken;
+}
+
 bool HttpRequestReader::hold(std::string_view bytes)
 {
     this->state->pending.append(bytes);
-    return this->state->pending.size() <= this->state->limits.headerBytes + this->state->limits.bodyBytes;
+    return this->heldBytes() <= this->state->limits.headerBytes + this->state->limits.bodyBytes;
 }
 
 void HttpRequestReader::setLimits(HttpRequestLimits limits)
--- a/src/hickoryshore/httpserver/http_listener.cpp
+++ b/src/hickoryshore/httpserver/http_listener.cpp
@@ -33,6 +33,11 @@
 /// connection before the client has read the refusal.
 constexpr Duration maxLingerTime = 5s;
 
+/// Read of one connection before others have their turn.
+constexpr std::size_t maxBytesPerTurn = 16 * readSize;
+/// Received behind a request that awaits its answer. The rest stays in the socket, whose queue the system bounds.
+constexpr std::size_t maxHeldBytes = std::size_t{4} * 1024;
+
 constexpr int statusBadRequest = 400;
 constexpr int statusRequestTimeout = 408;
 constexpr int statusBodyTooLarge = 413;
@@ -167,11 +172,13 @@
             ::close(accepted);
             continue;
         }
+        const Instant now = monotonicNow();
         this->open.try_emplace(id,
                                Connection{.descriptor = accepted,
                                           .watch = watch,
                                           .reader = HttpRequestReader(this->settings.limits),
-                                          .since = monotonicNow()});
+                                          .progressAt = now,
+                                          .since = now});
     }
 }
 
@@ -185,14 +192,25 @@
     if (readiness.writable && connection.sent < connection.outgoing.size()) {
         this->send(id, connection);
     }
-    if (readiness.readable && this->open.contains(id)) {
+    if (!readiness.readable || !this->open.contains(id)) {
+        return;
+    }
+    if (connection.paused && readiness.ended) {
+        // The end comes behind bytes that are not read before the answer is sent.
+        this->close(id, true);
+    } else {
         this->receive(id, connection);
     }
 }
 
 void HttpListener::receive(Id id, Connection &connection)
 {
-    while (true) {
+    std::size_t bytes = 0;
+    while (bytes < maxBytesPerTurn) {
+        connection.paused = this->mustPause(connection);
+        if (connection.paused) {
+            return;
+        }
         const ssize_t count = ::recv(connection.descriptor, this->received.data(), readSize, 0);
         if (count < 0 && errno == EINTR) {
             continue;
@@ -204,25 +222,62 @@
             this->close(id, true);
             return;
         }
-        if (connection.closing) {
-            connection.since = monotonicNow();
-            continue;
-        }
-        if (!connection.inRequest) {
-            connection.inRequest = true;
-            connection.since = monotonicNow();
-        }
-        const std::string_view bytes(this->received.data(), static_cast<std::size_t>(count));
-        // While a request awaits its answer, what follows is kept unread.
-        if (connection.call.value != 0) {
-            if (!connection.reader.hold(bytes)) {
-                this->close(id, true);
-                return;
-            }
-        } else if (!this->process(id, connection, connection.reader.take(bytes))) {
+        bytes += static_cast<std::size_t>(count);
+        if (!this->take(id, connection, {this->received.data(), static_cast<std::size_t>(count)})) {
             return;
         }
     }
+    connection.paused = true;
+    this->resumeSoon(id, connection);
+}
+
+/// Takes received bytes. Returns whether the connection is still open.
+bool HttpListener::take(Id id, Connection &connection, std::string_view bytes)
+{
+    const Instant now = monotonicNow();
+    if (connection.closing) {
+        return this->discard(id, connection, bytes.size());
+    }
+    if (!connection.inRequest) {
+        connection.inRequest = true;
+        connection.since = now;
+    }
+    if (!isBusy(connection)) {
+        connection.progressAt = now;
+        if (!this->process(id, connection, connection.reader.take(bytes))) {
+            return false;
+        }
+    } else if (!connection.reader.hold(bytes)) {
+        // While a request awaits its answer, what follows is kept unread, up to one request.
+        this->close(id, true);
+        return false;
+    }
+    return true;
+}
+
+/// Passes over what comes on a connection that is closing. Returns whether the connection is still open.
+bool HttpListener::discard(Id id, Connection &connection, std::size_t bytes)
+{
+    connection.since = monotonicNow();
+    connection.discarded += bytes;
+    if (connection.discarded > this->settings.limits.headerBytes + this->settings.limits.bodyBytes) {
+        this->close(id, true);
+        return false;
+    }
+    return true;
+}
+
+/// Returns whether a request awaits its answer, or an answer awaits its client.
+bool HttpListener::isBusy(const Connection &connection)
+{
+    return connection.call.value != 0 || connection.sent < connection.outgoing.size();
+}
+
+/// Returns whether what comes now is left in the socket.
+bool HttpListener::mustPause(const Connection &connection) const
+{
+    const std::size_t held = connection.closing ? connection.discarded : connection.reader.heldBytes();
+    return isBusy(connection) && held >= maxHeldBytes;
 }
 
 /// Acts on what the reader has come to; returns whether the connection is still open.
@@ -232,13 +287,13 @@
     case HttpRequestReader::Progress::NeedsMore:
         return true;
     case HttpRequestReader::Progress::Malformed:
-        this->refuse(id, connection, statusBadRequest);
+        this->refuse(id, connection, {.status = statusBadRequest});
         return this->open.contains(id);
     case HttpRequestReader::Progress::HeaderTooLarge:
-        this->refuse(id, connection, statusHeaderTooLarge);
+        this->refuse(id, connection, {.status = statusHeaderTooLarge});
         return this->open.contains(id);
     case HttpRequestReader::Progress::BodyTooLarge:
-        this->refuse(id, connection, statusBodyTooLarge);
+        this->refuse(id, connection, {.status = statusBodyTooLarge});
         return this->open.contains(id);
     case HttpRequestReader::Progress::Complete:
         break;
@@ -258,13 +313,16 @@
     return still != this->open.end();
 }
 
-void HttpListener::refuse(Id id, Connection &connection, int status)
+/// Answers in place of the hooks, and closes the connection.
+void HttpListener::refuse(Id id, Connection &connection, const HttpAnswer &refusal)
 {
     if (this->hooks.onRefused) {
-        this->hooks.onRefused(status);
+        this->hooks.onRefused(refusal.status);
     }
-    this->queue(connection, formatAnswer({.status = status}, true, true), {});
+    connection.reader = HttpRequestReader(this->settings.limits);
+    connection.inRequest = false;
     connection.closing = true;
+    this->queue(connection, formatAnswer(refusal, true, true), {});
     this->send(id, connection);
 }
 
@@ -282,16 +340,6 @@
     connection.call = {};
     connection.since = monotonicNow();
     this->send(id, connection);
-    if (this->open.contains(id) && !connection.closing && connection.reader.hasBegun()) {
-        connection.inRequest = true;
-        // Soon rather than now: the answer may have been given within the hook for this connection's request.
-        this->loop.post([this, id] {
-            const auto waiting = this->open.find(id);
-            if (waiting != this->open.end() && waiting->second.call.value == 0) {
-                this->process(id, waiting->second, waiting->second.reader.take(""));
-            }
-        });
-    }
 }
 
 std::string HttpListener::clientAddress(HttpCallId call) const
@@ -308,14 +356,16 @@
     return text.data();
 }
 
-void HttpListener::queue(Connection &connection, std::string_view bytes, std::string_view label)
+void HttpListener::queue(Connection &connection, std::string bytes, std::string_view label)
 {
+    connection.unread += bytes.size();
+    connection.label = label;
     if (connection.outgoing.empty()) {
         connection.progressAt = monotonicNow();
+        connection.outgoing = std::move(bytes);
+    } else {
+        connection.outgoing += bytes;
     }
-    connection.outgoing += bytes;
-    connection.unread += bytes.size();
-    connection.label = label;
 }
 
 void HttpListener::send(Id id, Connection &connection)
@@ -334,14 +384,58 @@
             return;
         }
     }
-    connection.outgoing.clear();
+    this->onSent(id, connection);
+}
+
+/// Everything was handed to the system: the next request may be read, or the connection ends.
+void HttpListener::onSent(Id id, Connection &connection)
+{
+    connection.outgoing = {};
     connection.sent = 0;
     connection.unread = 0;
-    if (connection.closing && connection.call.value == 0) {
+    if (connection.call.value != 0) {
+        return;
+    }
+    connection.since = monotonicNow();
+    if (connection.closing) {
         // The client reads to the end before the connection is closed: closing with bytes unread would reset it.
         ::shutdown(connection.descriptor, SHUT_WR);
-        connection.since = monotonicNow();
         connection.endedAt = connection.since;
+    } else if (connection.reader.hasBegun()) {
+        connection.inRequest = true;
+        connection.progressAt = connection.since;
+    }
+    if (connection.inRequest || connection.paused) {
+        // Soon rather than now: the answer may have been given within the hook for this connection's request.
+        this->resumeSoon(id, connection);
+    }
+}
+
+void HttpListener::resumeSoon(Id id, Connection &connection)
+{
+    if (!connection.resuming) {
+        connection.resuming = true;
+        this->loop.post([this, id] {
+            this->resume(id);
+        });
+    }
+}
+
+/// Goes on with what is held of the next request, and with what has come since.
+void HttpListener::resume(Id id)
+{
+    const auto found = this->open.find(id);
+    if (found == this->open.end()) {
+        return;
+    }
+    Connection &connection = found->second;
+    connection.resuming = false;
+    if (!isBusy(connection) && !connection.closing && connection.reader.heldBytes() > 0
+        && !this->process(id, connection, connection.reader.take(""))) {
+        return;
+    }
+    if (connection.paused) {
+        this->receive(id, connection);
     }
 }
 
@@ -436,7 +530,7 @@
         this->close(id, false);
     }
     for (const Id id : late) {
-        this->refuse(id, this->open.at(id), statusRequestTimeout);
+        this->refuse(id, this->open.at(id), {.status = statusRequestTimeout});
     }
     for (const Id id : stalled) {
         this->cut(id, HttpCutCause::ClientStalled);
@@ -466,7 +560,7 @@
     return static_cast<std::size_t>(std::ranges::count_if(this->open, [](const auto &entry) {
         const Connection &connection = entry.second;
         const bool reading = connection.inRequest && !connection.closing;
-        return reading || connection.call.value != 0 || connection.sent < connection.outgoing.size();
+        return reading || isBusy(connection);
     }));
 }
 
--- a/src/hickoryshore/httpserver/http_listener_test.cpp
+++ b/src/hickoryshore/httpserver/http_listener_test.cpp
@@ -65,6 +65,12 @@
                       == static_cast<ssize_t>(bytes.size()));
     }
 
+    /// Returns whether all bytes were sent.
+    bool trySend(std::string_view bytes) const
+    {
+        return ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size());
+    }
+
     /// Reads until the text has come, or the connection ends.
     std::string readUntil(std::string_view wanted)
     {
@@ -112,6 +118,7 @@
 {
     int port = freePort();
     EventLoop loop{0};
+    std::atomic<int> requests = 0;
     std::atomic<int> left = 0;
     std::atomic<int> refused = 0;
     std::atomic<int> stalled = 0;
@@ -119,15 +126,16 @@
     HttpListener listener;
     std::thread thread;
 
-    Server()
+    explicit Server(const HttpListenerSettings &settings = {.limits = {.headerBytes = 1000, .bodyBytes = 1000},
+                                                            .requestTimeout = 300ms,
+                                                            .idleTimeout = 1s,
+                                                            .stalledTimeout = stalledTimeout})
         : listener(this->loop,
                    "127.0.0.1:" + std::to_string(this->port),
-                   {.limits = {.headerBytes = 1000, .bodyBytes = 1000},
-                    .requestTimeout = 300ms,
-                    .idleTimeout = 1s,
-                    .stalledTimeout = stalledTimeout},
+                   settings,
                    {.onRequest =
                         [this](HttpCallId call, const HttpServerRequest &request) {
+                            ++this->requests;
                             if (request.target == "/long") {
                                 this->listener.answer(call, {.body = std::string(longAnswer, 'x'), .label = "long"});
                             } else if (request.target != "/wait") {
@@ -184,6 +192,13 @@
 
 const std::string get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 
+/// A listener that waits long for a client that reads nothing.
+struct PatientServer : Server
+{
+    PatientServer() : Server({.stalledTimeout = 60s})
+    { }
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(http_listener, Server)
@@ -343,3 +358,50 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against answers that pile up for a client that sends requests ahead and reads nothing.
+BOOST_FIXTURE_TEST_CASE(a_request_sent_ahead_waits_until_the_answer_before_it_is_sent, PatientServer)
+{
+    const std::string getLong = "GET /long HTTP/1.1\r\n\r\n";
+    Client client(this->port);
+    for (int number = 0; number < 400; ++number) {
+        client.send(getLong);
+    }
+    this->awaitBusy(1);
+    Client other(this->port);
+    other.send(get);
+    BOOST_TEST(other.readUntil("/a|").starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(this->requests == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(requests_sent_ahead_are_all_answered, PatientServer)
+{
+    constexpr int count = 2000;
+    Client client(this->port);
+    std::string requests;
+    for (int number = 0; number < count; ++number) {
+        requests += get;
+    }
+    std::thread sender([&client, &requests] {
+        client.send(requests);
+    });
+    std::string answers;
+    for (int tries = 0; tries < count && std::count(answers.begin(), answers.end(), '|') < count; ++tries) {
+        answers += client.readUntil("|");
+    }
+    sender.join();
+    BOOST_TEST(std::count(answers.begin(), answers.end(), '|') == count);
+}
+
+// Guards against a client that is refused, goes on sending as fast as it can, and keeps the server busy.
+BOOST_FIXTURE_TEST_CASE(a_refused_client_that_sends_without_end_is_cut_off, PatientServer)
+{
+    Client client(this->port);
+    client.send("POST /a HTTP/1.1\r\nContent-Length: 4000000000\r\n\r\n");
+    BOOST_TEST(client.readUntil("\r\n\r\n").starts_with("HTTP/1.1 413 "));
+    bool open = true;
+    for (int pieces = 0; pieces < 100'000 && open; ++pieces) {
+        open = client.trySend(std::string(1024, 'x'));
+    }
+    BOOST_TEST(!open);
+}
