HTTP server: what all clients of an address keep together is bounded

Cause: each request was bounded alone, in the bytes that were sent, and no sum over the connections; at the addresses for entry points, readiness, metrics and other VMs bodies of 1 MiB were taken, too, though only calls of other VMs have any.

Ruled out: a bound on each connection times their number, which would have to be 24 KB at 1,001 connections and 21 MB; a refusal of the newest alone, since clients that stop just short of the end would keep everybody else out until the request times out; a reservation by address, as many callers share one behind a translator.

Change: HttpListener counts, for each connection, the memory of the request that is being read (with the whole body that is announced and the parsed header, whose short fields take 20 times their bytes), of the request in work, of what is held behind it and of the unsent answer. Above the address's share of the VM's memory, chooseForBytes() names what is given up: first clients without progress for 500 ms, then the newest incomplete requests, then unread answers; never a request in work, nor a connection with less than 8 KB, so that ordinary requests are served beside it. Incomplete requests are refused with 503 and Retry-After, a body that is announced before any byte of it is read; nothing of them ran. Sockets get 32 KB for what is not read yet. Result code 216, requestMemoryFull; gauges for the bytes; lines that clients can cause are limited to 20 a second.

No request within the limits meets this alone: a share is at least three times the largest request.

--- a/include/hickoryshore/entry/entry_vm.h
+++ b/include/hickoryshore/entry/entry_vm.h
@@ -6,6 +6,8 @@
 
 #include "hickoryshore/entry/request_service.h"
 #include "hickoryshore/entry/state_service.h"
+#include "hickoryshore/log/log.h"
+#include "hickoryshore/membership/token_bucket.h"
 #include "hickoryshore/membershipservice/membership_service.h"
 #include "hickoryshore/shutdown/eligible_members.h"
 #include "hickoryshore/shutdown/shutdown_state.h"
@@ -32,6 +34,7 @@
 private:
     HttpListenerHooks callerHooks();
     HttpListenerHooks peerHooks();
+    HttpListenerHooks withReports(HttpListenerHooks hooks);
     HttpListenerHooks hooksFor(void (EntryVm::*answer)(HttpCallId call, const HttpServerRequest &request));
     void answerEntryPoint(HttpCallId call, const HttpServerRequest &request);
     void answerReadiness(HttpCallId call, const HttpServerRequest &request);
@@ -45,6 +48,8 @@
     void onRouteTable(const std::shared_ptr<const RouteTable> &table);
     void logMember(const MemberChangedAction &change) const;
     void recordCutAnswer(const HttpAnswerCut &cut);
+    void recordRefusal(int status);
+    void logClient(LogEvent event);
     void advanceShutdown();
     std::string metricsText() const;
 
@@ -54,6 +59,8 @@
     Metrics metrics;
     std::uint64_t seed;
     std::mt19937_64 random;
+    TokenBucket clientLogLines;
+    std::uint64_t clientLinesLeftOut = 0; ///< Since the last line about a client.
     HttpListener callers;
     HttpListener entryPoints;
     HttpListener readiness;
--- a/include/hickoryshore/http1/http_exchange.h
+++ b/include/hickoryshore/http1/http_exchange.h
@@ -31,6 +31,9 @@
 /// Appends "name: value" as a header line.
 void appendHeader(std::string &message, std::string_view name, std::string_view value);
 
+/// Returns a duration as the value of a Retry-After field: seconds, with a fraction.
+std::string formatSeconds(Duration duration);
+
 /// The parts of a response that the upstreams' protocol uses.
 struct UpstreamHttpResponse
 {
@@ -141,6 +144,10 @@
     /// Whether a part of a request has been received.
     bool hasBegun() const;
 
+    /// Returns the bytes of memory that the request being read takes, with its parsed header and the whole body that it
+    /// announces, and what is held for the next one.
+    std::size_t keptBytes() const;
+
     /// Returns the number of received bytes that belong to no complete request and that the parser has not taken.
     std::size_t heldBytes() const;
 
--- a/include/hickoryshore/httpserver/http_listener.h
+++ b/include/hickoryshore/httpserver/http_listener.h
@@ -1,4 +1,5 @@
-// An HTTP/1.1 server on an event loop's thread: it reads requests, bounds them, and notices callers that leave.
+// An HTTP/1.1 server on an event loop's thread: it reads requests, bounds them and what all clients together take, and
+// notices callers that leave.
 //
 //     HttpListener listener(loop, "10.0.0.1:80", settings, {.onRequest = [&](HttpCallId call, auto request) {
 //         listener.answer(call, {.status = 200, .body = "hello"});
@@ -6,11 +7,13 @@
 #pragma once
 
 #include "hickoryshore/base/ids.h"
+#include "hickoryshore/clientlimits/client_choice.h"
 #include "hickoryshore/eventloop/event_loop.h"
 #include "hickoryshore/http1/http_exchange.h"
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -30,6 +33,16 @@
     Duration unacknowledgedTimeout{std::chrono::seconds(5)}; ///< A client that takes nothing for so long is gone.
     Duration stalledTimeout{
         std::chrono::seconds(5)}; ///< An answer of which the client reads nothing for so long is cut.
+
+    /// Memory, in bytes, that requests and unread answers of all connections take together. Beyond it, incomplete
+    /// requests are refused with 503, and answers are cut; see chooseForBytes().
+    std::size_t maxKeptBytes = std::numeric_limits<std::size_t>::max();
+
+    Duration retryAfter{std::chrono::milliseconds(100)}; ///< What a client that is refused for them is told.
+
+    /// Of what the system receives for a connection before it is read; zero leaves it to the system. Not changed by
+    /// setBounds().
+    int receiveBufferBytes = 0;
 };
 
 /// An answer. Length and connection fields are set by the listener.
@@ -47,6 +60,7 @@
 enum class HttpCutCause {
     ClientLeft, ///< The client closed or reset the connection.
     ClientStalled, ///< The client read nothing for stalledTimeout.
+    Memory, ///< All connections together took more than maxKeptBytes.
     Ending, ///< cutAnswers()
 };
 
@@ -100,6 +114,9 @@
 
     std::size_t connections() const;
 
+    /// Returns the memory, in bytes, that requests and unread answers of all connections take.
+    std::size_t keptBytes() const;
+
     /// Connections on which a request is being read or answered, or whose answer has not been sent whole.
     std::size_t busyConnections() const;
 
@@ -117,6 +134,8 @@
         std::size_t unread = 0; ///< Bytes that the client had not taken when its progress was last seen.
         Instant progressAt; ///< When the client last sent bytes, or took bytes of `outgoing`.
         HttpCallId call; ///< Zero: no request awaits its answer.
+        std::size_t workBytes = 0; ///< Memory of the request that awaits its answer.
+        std::size_t kept = 0; ///< What the connection counts for in keptTogether.
         std::size_t discarded = 0; ///< Bytes received on a connection that is closing.
         bool isHead = false;
         bool closing = false; ///< Ends once everything is sent.
@@ -146,12 +165,17 @@
     void checkTimeouts();
     bool isStalled(Connection &connection, Instant now) const;
     static bool isBusy(const Connection &connection);
+    static ClientStage stageOf(const Connection &connection);
+    std::vector<ClientUse> uses() const;
+    void countKept(Connection &connection);
+    void boundKept();
 
     EventLoop &loop;
     HttpListenerSettings settings;
     HttpListenerHooks hooks;
     int descriptor = -1;
     std::unordered_map<Id, Connection> open;
+    std::size_t keptTogether = 0; ///< Bytes, over all connections.
     std::unordered_map<HttpCallId, Id> calls;
     Id lastId = 0;
     std::uint64_t lastCall = 0;
--- a/include/hickoryshore/result/result_code.h
+++ b/include/hickoryshore/result/result_code.h
@@ -57,6 +57,7 @@
     EntryOverloaded = 213,
     DeadlineBeforeDispatch = 214,
     ConnectFailed = 215,
+    RequestMemoryFull = 216,
 
     DeadlineExceeded = 300,
     ConnectionLost = 301,
--- a/src/hickoryshore/entry/entry_vm.cpp
+++ b/src/hickoryshore/entry/entry_vm.cpp
@@ -1,11 +1,13 @@
 #include "hickoryshore/entry/entry_vm.h"
 
 #include "hickoryshore/clock/clock.h"
+#include "hickoryshore/entry/client_bounds.h"
 #include "hickoryshore/log/log.h"
 
 #include <algorithm>
 #include <array>
 #include <limits>
+#include <utility>
 
 namespace hickoryshore {
 
@@ -36,6 +38,8 @@
 constexpr Duration probePeriod = 600ms;
 /// Maximum number of VMs that receive a report on replicas.
 constexpr std::ptrdiff_t maxReportReceivers = 32;
+/// Lines in a second about refused, cut and closed clients; so many clients can't push out all other lines.
+constexpr double maxClientLogLines = 20;
 constexpr std::string_view metricsPath = "/metrics";
 constexpr std::string_view slice = "entryVm";
 
@@ -44,13 +48,6 @@
     return parseHostPort(address).port;
 }
 
-HttpListenerSettings listenerSettings(const CallerLimits &limits)
-{
-    return {.limits = {.headerBytes = limits.headerBytes, .bodyBytes = limits.bodyBytes},
-            .requestTimeout = limits.headerTimeout,
-            .idleTimeout = limits.idleTimeout};
-}
-
 ShutdownSettings shutdownSettings(const EntrySettings &settings)
 {
     const Duration keptLifetime = maxLifetimesKept * entryPointLifetime;
@@ -72,6 +69,8 @@
         return ResultCode::RequestTooLarge;
     case 408:
         return ResultCode::RequestIncomplete;
+    case 503:
+        return ResultCode::RequestMemoryFull;
     default:
         return ResultCode::MalformedRequest;
     }
@@ -84,6 +83,8 @@
         return "clientLeft";
     case HttpCutCause::ClientStalled:
         return "clientStalled";
+    case HttpCutCause::Memory:
+        return "memory";
     case HttpCutCause::Ending:
         return "ending";
     }
@@ -111,11 +112,21 @@
       protocol(std::move(protocol)),
       seed(drawSeed()),
       random(this->seed),
-      callers(loop, settings.callerListen, {}, this->callerHooks()),
-      entryPoints(loop, settings.entryPointListen, {}, this->hooksFor(&EntryVm::answerEntryPoint)),
-      readiness(loop, settings.readinessListen, {}, this->hooksFor(&EntryVm::answerReadiness)),
-      peers(loop, settings.peerListen, {}, this->peerHooks()),
-      metricsListener(loop, settings.metricsListen, {}, this->hooksFor(&EntryVm::answerMetrics)),
+      clientLogLines(maxClientLogLines, maxClientLogLines),
+      callers(loop, settings.callerListen, callerBounds(settings, CallerLimits{}), this->callerHooks()),
+      entryPoints(loop,
+                  settings.entryPointListen,
+                  bodilessBounds(settings, entryPointMemoryShare),
+                  this->hooksFor(&EntryVm::answerEntryPoint)),
+      readiness(loop,
+                settings.readinessListen,
+                bodilessBounds(settings, readinessMemoryShare),
+                this->hooksFor(&EntryVm::answerReadiness)),
+      peers(loop, settings.peerListen, peerBounds(settings), this->peerHooks()),
+      metricsListener(loop,
+                      settings.metricsListen,
+                      bodilessBounds(settings, metricsMemoryShare),
+                      this->hooksFor(&EntryVm::answerMetrics)),
       requests(loop,
                this->settings,
                this->protocol,
@@ -188,35 +199,62 @@
 
 HttpListenerHooks EntryVm::callerHooks()
 {
-    return {.onRequest =
-                [this](HttpCallId call, const HttpServerRequest &request) {
-                    this->requests.onRequest(call, request);
-                },
-            .onClientLeft =
-                [this](HttpCallId call) {
-                    this->requests.onClientLeft(call);
-                },
-            .onRefused =
-                [this](int status) {
-                    const ResultCode code = codeOfRefusal(status);
-                    this->metrics.countBadInput(code);
-                    writeLog({.level = LogLevel::Warn, .slice = slice, .event = "badInput", .resultCode = code});
-                },
-            .onAnswerCut =
-                [this](const HttpAnswerCut &cut) {
-                    this->recordCutAnswer(cut);
-                }};
+    return this->withReports({.onRequest =
+                                  [this](HttpCallId call, const HttpServerRequest &request) {
+                                      this->requests.onRequest(call, request);
+                                  },
+                              .onClientLeft =
+                                  [this](HttpCallId call) {
+                                      this->requests.onClientLeft(call);
+                                  }});
+}
+
+/// Adds the hooks that report refusals, cut answers and closed connections.
+HttpListenerHooks EntryVm::withReports(HttpListenerHooks hooks)
+{
+    hooks.onRefused = [this](int status) {
+        this->recordRefusal(status);
+    };
+    hooks.onAnswerCut = [this](const HttpAnswerCut &cut) {
+        this->recordCutAnswer(cut);
+    };
+    return hooks;
+}
+
+void EntryVm::recordRefusal(int status)
+{
+    const ResultCode code = codeOfRefusal(status);
+    const bool isFault = code != ResultCode::RequestMemoryFull;
+    if (isFault) {
+        this->metrics.countBadInput(code);
+    } else {
+        this->metrics.countAnswer(code);
+    }
+    this->logClient(
+        {.level = LogLevel::Warn, .slice = slice, .event = isFault ? "badInput" : "refused", .resultCode = code});
 }
 
 void EntryVm::recordCutAnswer(const HttpAnswerCut &cut)
 {
     this->metrics.count(Count::AnswersCut);
-    writeLog({.level = LogLevel::Warn,
-              .slice = slice,
-              .event = "answerCut",
-              .requestId = cut.label,
-              .fields
-              = {{"cause", std::string(cutCauseName(cut.cause))}, {"unsentBytes", std::to_string(cut.unsentBytes)}}});
+    this->logClient({.level = LogLevel::Warn,
+                     .slice = slice,
+                     .event = "answerCut",
+                     .requestId = cut.label,
+                     .fields = {{"cause", std::string(cutCauseName(cut.cause))},
+                                {"unsentBytes", std::to_string(cut.unsentBytes)}}});
+}
+
+/// Writes a line that a client can cause, unless there were too many in the last second.
+void EntryVm::logClient(LogEvent event)
+{
+    if (this->clientLogLines.available(monotonicNow()) < 1.0) {
+        ++this->clientLinesLeftOut;
+        return;
+    }
+    this->clientLogLines.take(1.0);
+    event.fields.push_back({"leftOut", std::to_string(std::exchange(this->clientLinesLeftOut, 0))});
+    writeLog(event);
 }
 
 HttpListenerHooks EntryVm::peerHooks()
@@ -225,17 +263,14 @@
     hooks.onClientLeft = [this](HttpCallId call) {
         this->requests.onPeerLeft(call);
     };
-    hooks.onAnswerCut = [this](const HttpAnswerCut &cut) {
-        this->recordCutAnswer(cut);
-    };
     return hooks;
 }
 
 HttpListenerHooks EntryVm::hooksFor(void (EntryVm::*answer)(HttpCallId call, const HttpServerRequest &request))
 {
-    return {.onRequest = [this, answer](HttpCallId call, const HttpServerRequest &request) {
+    return this->withReports({.onRequest = [this, answer](HttpCallId call, const HttpServerRequest &request) {
         (this->*answer)(call, request);
-    }};
+    }});
 }
 
 MembershipHooks EntryVm::membershipHooks()
@@ -308,7 +343,7 @@
 void EntryVm::onRouteTable(const std::shared_ptr<const RouteTable> &table)
 {
     this->requests.setRouteTable(table);
-    this->callers.setBounds(listenerSettings(table->callers));
+    this->callers.setBounds(callerBounds(this->settings, table->callers));
     // Deferred, since the version isn't known yet while the first listing is being handled.
     this->loop.post([this] {
         this->membership->setConfigRevision({this->state.version()});
@@ -391,6 +426,12 @@
               "Answers that belong to another request",
               static_cast<double>(connections.foreignResponses)},
         Gauge{"caller_connections", "Open connections of callers", static_cast<double>(this->callers.connections())},
+        Gauge{"caller_bytes_kept",
+              "Memory of callers' requests and unread answers",
+              static_cast<double>(this->callers.keptBytes())},
+        Gauge{"peer_bytes_kept",
+              "Memory of other VMs' requests and unread answers",
+              static_cast<double>(this->peers.keptBytes())},
         Gauge{"members", "Known VMs", static_cast<double>(this->members->members.size())},
         Gauge{"configuration_version", "Of the routes in force", static_cast<double>(this->state.version())},
         Gauge{"store_era", "Of the store, as far as known", static_cast<double>(this->state.era())},
--- a/src/hickoryshore/entry/request_answers.cpp
+++ b/src/hickoryshore/entry/request_answers.cpp
@@ -37,12 +37,6 @@
                                                                                         : statusBadGateway;
 }
 
-std::string formatSeconds(Duration duration)
-{
-    std::string text = std::to_string(static_cast<double>(duration.count()) / 1e6);
-    return text.substr(0, text.find('.') + 4);
-}
-
 /// Returns the first missed services as text, each with the result code of its last attempt.
 std::string missedText(std::span<const MissedPart> missed)
 {
--- a/src/hickoryshore/entry/request_service.cpp
+++ b/src/hickoryshore/entry/request_service.cpp
@@ -29,6 +29,8 @@
 /// Divisors of this VM's memory: the limit of one replica's answer, and of all answers being received.
 constexpr std::size_t answerMemoryDivisor = 16;
 constexpr std::size_t totalMemoryDivisor = 4;
+/// The same for all answers of other VMs.
+constexpr std::size_t peerMemoryDivisor = 8;
 /// Connections per aggregator. While all are in use, parts are requested directly from the replicas.
 constexpr int connectionsPerPeer = 8;
 /// Shorter than the idle timeout of the other VM, so that it doesn't close a connection just as it is reused.
@@ -50,7 +52,7 @@
     return {.connectionsPerServer = connectionsPerPeer,
             .idleLimit = peerIdleLimit,
             .responses = {.bodyBytes = memoryBytes / answerMemoryDivisor},
-            .bytesTogether = memoryBytes / totalMemoryDivisor};
+            .bytesTogether = memoryBytes / peerMemoryDivisor};
 }
 
 Duration parseMilliseconds(std::optional<std::string_view> text, Duration fallback)
--- a/src/hickoryshore/http1/http_fields.cpp
+++ b/src/hickoryshore/http1/http_fields.cpp
@@ -75,6 +75,12 @@
     message.append(name).append(": ").append(value).append("\r\n");
 }
 
+std::string formatSeconds(Duration duration)
+{
+    std::string text = std::to_string(static_cast<double>(duration.count()) / 1e6);
+    return text.substr(0, text.find('.') + 4);
+}
+
 std::string_view pathOf(std::string_view target)
 {
     return target.substr(0, target.find('?'));
--- a/src/hickoryshore/http1/http_request_reader.cpp
+++ b/src/hickoryshore/http1/http_request_reader.cpp
@@ -17,6 +17,9 @@
 
 namespace {
 
+/// Memory of a parsed field beside its name and value.
+constexpr std::size_t fieldOverhead = 96;
+
 std::uint32_t narrow(std::size_t bytes)
 {
     constexpr std::size_t largest = std::numeric_limits<std::uint32_t>::max();
@@ -34,12 +37,23 @@
     return HttpRequestReader::Progress::Malformed;
 }
 
+/// Returns the memory that the parsed header takes.
+std::size_t parsedHeaderBytes(const http::request_header<> &header)
+{
+    std::size_t bytes = header.target().size();
+    for (const auto &field : header) {
+        bytes += field.name_string().size() + field.value().size() + fieldOverhead;
+    }
+    return bytes;
+}
+
 } // namespace
 
 struct HttpRequestReader::State
 {
     HttpRequestLimits limits;
     std::optional<http::request_parser<http::string_body>> parser;
+    std::size_t headerBytes = 0; ///< Memory of the parsed header.
     std::string pending; ///< Received, but not taken by the parser yet, from `taken` on.
     std::size_t taken = 0;
 
@@ -104,11 +118,15 @@
         parser->eager(false);
         parser->header_limit(narrow(this->state->limits.headerBytes));
         parser->body_limit(this->state->limits.bodyBytes);
+        this->state->headerBytes = 0;
     }
     boost::beast::error_code error;
     while (!bytes.empty() && !parser->is_done() && !error) {
         bytes.remove_prefix(parser->put(boost::asio::buffer(bytes.data(), bytes.size()), error));
     }
+    if (this->state->headerBytes == 0 && parser->is_header_done()) {
+        this->state->headerBytes = parsedHeaderBytes(parser->get());
+    }
     const std::size_t left = bytes.size();
     this->state->keep(bytes, joined);
     return this->state->progress(error, left);
@@ -129,6 +147,18 @@
     return request;
 }
 
+std::size_t HttpRequestReader::keptBytes() const
+{
+    std::size_t bytes = this->state->pending.capacity();
+    const auto &parser = this->state->parser;
+    if (parser.has_value()) {
+        const auto length = parser->is_header_done() ? parser->content_length() : boost::none;
+        const std::size_t announced = length.has_value() ? static_cast<std::size_t>(*length) : 0;
+        bytes += this->state->headerBytes + std::max(parser->get().body().capacity(), announced);
+    }
+    return bytes;
+}
+
 std::size_t HttpRequestReader::heldBytes() const
 {
     return this->state->pending.size() - this->state->taken;
--- a/src/hickoryshore/httpserver/http_listener.cpp
+++ b/src/hickoryshore/httpserver/http_listener.cpp
@@ -10,10 +10,8 @@
 #include <system_error>
 
 #include <arpa/inet.h>
-#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -27,19 +25,12 @@
 /// As many connections as may wait to be accepted.
 constexpr int backlog = 1024;
 constexpr Duration timeoutCheck = 250ms;
-/// For so long a client may take to close its side after the last answer, without sending anything.
-constexpr Duration lingerTime = 1s;
-/// The same for a client that still sends, mostly the body of a refused request: closing earlier would reset the
-/// connection before the client has read the refusal.
-constexpr Duration maxLingerTime = 5s;
-
 /// Read of one connection before others have their turn.
 constexpr std::size_t maxBytesPerTurn = 16 * readSize;
 /// Received behind a request that awaits its answer. The rest stays in the socket, whose queue the system bounds.
 constexpr std::size_t maxHeldBytes = std::size_t{4} * 1024;
 
 constexpr int statusBadRequest = 400;
-constexpr int statusRequestTimeout = 408;
 constexpr int statusBodyTooLarge = 413;
 constexpr int statusHeaderTooLarge = 431;
 
@@ -52,7 +43,7 @@
         return "Bad Request";
     case 404:
         return "Not Found";
-    case statusRequestTimeout:
+    case 408:
         return "Request Timeout";
     case statusBodyTooLarge:
         return "Content Too Large";
@@ -72,7 +63,7 @@
 }
 
 /// Opens a listening socket that does not block. Throws std::system_error.
-int listenOn(std::string_view address)
+int listenOn(std::string_view address, int receiveBufferBytes)
 {
     HostPort place;
     try {
@@ -92,6 +83,10 @@
     }
     const int on = 1;
     setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (receiveBufferBytes > 0) {
+        // Accepted sockets take it over.
+        setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof(receiveBufferBytes));
+    }
     if (bind(descriptor, reinterpret_cast<const sockaddr *>(&local), sizeof(local)) != 0
         || listen(descriptor, backlog) != 0) {
         const int error = errno;
@@ -101,11 +96,14 @@
     return descriptor;
 }
 
-/// Returns the bytes in the socket's queue that the client has not acknowledged, or zero if the system does not tell.
-std::size_t unacknowledgedBytes(int descriptor)
+/// Returns the memory of a request while it awaits its answer.
+std::size_t bytesOf(const HttpServerRequest &request)
 {
-    int bytes = 0;
-    return ioctl(descriptor, SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+    std::size_t bytes = request.target.size() + request.body.capacity();
+    for (const HttpHeader &header : request.headers) {
+        bytes += header.name.size() + header.value.size();
+    }
+    return bytes;
 }
 
 std::string formatAnswer(const HttpAnswer &answer, bool withBody, bool close)
@@ -132,7 +130,11 @@
                            std::string_view address,
                            HttpListenerSettings settings,
                            HttpListenerHooks hooks)
-    : loop(loop), settings(settings), hooks(std::move(hooks)), descriptor(listenOn(address)), received(readSize)
+    : loop(loop),
+      settings(settings),
+      hooks(std::move(hooks)),
+      descriptor(listenOn(address, settings.receiveBufferBytes)),
+      received(readSize)
 {
     this->loop.watch(this->descriptor, [this] {
         this->accept();
@@ -252,7 +254,9 @@
         this->close(id, true);
         return false;
     }
-    return true;
+    this->countKept(connection);
+    this->boundKept();
+    return this->open.contains(id);
 }
 
 /// Passes over what comes on a connection that is closing. Returns whether the connection is still open.
@@ -300,6 +304,7 @@
     }
     HttpServerRequest request = connection.reader.release();
     connection.call = {++this->lastCall};
+    connection.workBytes = bytesOf(request);
     connection.isHead = request.method == "HEAD";
     connection.inRequest = false;
     connection.closing = connection.closing || !request.keepAlive;
@@ -338,8 +343,10 @@
     connection.closing = connection.closing || answer.close || this->ending;
     this->queue(connection, formatAnswer(answer, !connection.isHead, connection.closing), answer.label);
     connection.call = {};
+    connection.workBytes = 0;
     connection.since = monotonicNow();
     this->send(id, connection);
+    this->boundKept();
 }
 
 std::string HttpListener::clientAddress(HttpCallId call) const
@@ -378,6 +385,7 @@
         if (count >= 0) {
             connection.sent += static_cast<std::size_t>(count);
         } else if (errno == EAGAIN) {
+            this->countKept(connection);
             return;
         } else if (errno != EINTR) {
             this->close(id, true);
@@ -393,6 +401,7 @@
     connection.outgoing = {};
     connection.sent = 0;
     connection.unread = 0;
+    this->countKept(connection);
     if (connection.call.value != 0) {
         return;
     }
@@ -430,9 +439,11 @@
     }
     Connection &connection = found->second;
     connection.resuming = false;
-    if (!isBusy(connection) && !connection.closing && connection.reader.heldBytes() > 0
-        && !this->process(id, connection, connection.reader.take(""))) {
-        return;
+    if (!isBusy(connection) && !connection.closing && connection.reader.heldBytes() > 0) {
+        if (!this->process(id, connection, connection.reader.take(""))) {
+            return;
+        }
+        this->countKept(connection);
     }
     if (connection.paused) {
         this->receive(id, connection);
@@ -446,6 +457,7 @@
     this->reportCut(found->second, HttpCutCause::ClientLeft);
     this->loop.unwatchStream(found->second.watch, found->second.descriptor);
     ::close(found->second.descriptor);
+    this->keptTogether -= found->second.kept;
     this->open.erase(found);
     if (call.value != 0) {
         this->calls.erase(call);
@@ -487,64 +499,6 @@
     }
 }
 
-/// Returns whether the client has read nothing of its answer for stalledTimeout.
-bool HttpListener::isStalled(Connection &connection, Instant now) const
-{
-    // The socket takes no more bytes until a part of its queue is free, which a slow client may need long for.
-    const std::size_t unread
-        = connection.outgoing.size() - connection.sent + unacknowledgedBytes(connection.descriptor);
-    if (unread != connection.unread) {
-        connection.unread = unread;
-        connection.progressAt = now;
-    }
-    return now - connection.progressAt > this->settings.stalledTimeout;
-}
-
-void HttpListener::checkTimeouts()
-{
-    const Instant now = monotonicNow();
-    std::vector<Id> ended;
-    std::vector<Id> late;
-    std::vector<Id> stalled;
-    for (auto &[id, connection] : this->open) {
-        const Duration waited = now - connection.since;
-        if (connection.sent < connection.outgoing.size()) {
-            if (this->isStalled(connection, now)) {
-                stalled.push_back(id);
-            }
-        } else if (connection.call.value != 0) {
-            continue;
-        } else if (connection.closing) {
-            if (waited > lingerTime || now - connection.endedAt > maxLingerTime) {
-                ended.push_back(id);
-            }
-        } else if (connection.inRequest) {
-            if (waited > this->settings.requestTimeout) {
-                late.push_back(id);
-            }
-        } else if (waited > this->settings.idleTimeout) {
-            ended.push_back(id);
-        }
-    }
-    for (const Id id : ended) {
-        this->close(id, false);
-    }
-    for (const Id id : late) {
-        this->refuse(id, this->open.at(id), {.status = statusRequestTimeout});
-    }
-    for (const Id id : stalled) {
-        this->cut(id, HttpCutCause::ClientStalled);
-    }
-}
-
-void HttpListener::setBounds(const HttpListenerSettings &changed)
-{
-    this->settings = changed;
-    for (auto &[id, connection] : this->open) {
-        connection.reader.setLimits(changed.limits);
-    }
-}
-
 void HttpListener::closeAfterAnswers()
 {
     this->ending = true;
@@ -555,6 +509,11 @@
     return this->open.size();
 }
 
+std::size_t HttpListener::keptBytes() const
+{
+    return this->keptTogether;
+}
+
 std::size_t HttpListener::busyConnections() const
 {
     return static_cast<std::size_t>(std::ranges::count_if(this->open, [](const auto &entry) {
--- a/src/hickoryshore/httpserver/http_listener_test.cpp
+++ b/src/hickoryshore/httpserver/http_listener_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <deque>
 #include <future>
 #include <string>
 #include <thread>
@@ -192,6 +193,29 @@
 
 const std::string get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 
+constexpr std::size_t largeBody = std::size_t{64} * 1024;
+const std::string postLarge = "POST /a HTTP/1.1\r\nContent-Length: " + std::to_string(largeBody) + "\r\n\r\n";
+
+/// A listener whose clients together may keep three large bodies.
+struct SmallServer : Server
+{
+    SmallServer()
+        : Server({.limits = {.bodyBytes = largeBody},
+                  .requestTimeout = 60s,
+                  .stalledTimeout = 60s,
+                  .maxKeptBytes = 3 * largeBody + largeBody / 2})
+    { }
+
+    std::size_t keptBytes()
+    {
+        std::promise<std::size_t> kept;
+        this->loop.post([this, &kept] {
+            kept.set_value(this->listener.keptBytes());
+        });
+        return kept.get_future().get();
+    }
+};
+
 /// A listener that waits long for a client that reads nothing.
 struct PatientServer : Server
 {
@@ -374,7 +398,81 @@
     BOOST_TEST(this->requests == 2);
 }
 
-BOOST_FIXTURE_TEST_CASE(requests_sent_ahead_are_all_answered, PatientServer)
+BOOST_FIXTURE_TEST_SUITE(http_listener_bounds, SmallServer)
+
+// Guards against bodies that are each within the limit and together fill the memory.
+BOOST_AUTO_TEST_CASE(an_announced_body_for_which_there_is_no_memory_is_refused_before_it_comes)
+{
+    std::deque<Client> first;
+    for (int number = 0; number < 3; ++number) {
+        first.emplace_back(this->port).send(postLarge + "x");
+        this->awaitBusy(static_cast<std::size_t>(number) + 1);
+    }
+    for (const Client &client : first) {
+        client.send("x");
+    }
+    Client late(this->port);
+    late.send(postLarge);
+    const std::string refusal = late.readAll();
+    BOOST_TEST(refusal.starts_with("HTTP/1.1 503 "));
+    BOOST_TEST(refusal.find("Retry-After: 0.1") != std::string::npos);
+    BOOST_TEST(this->refused == 1);
+    // The others go on, and a small request is served beside them.
+    first.front().send(std::string(largeBody - 2, 'y'));
+    BOOST_TEST(first.front().readUntil("|").starts_with("HTTP/1.1 200 "));
+    Client small(this->port);
+    small.send(get);
+    BOOST_TEST(small.readUntil("/a|").starts_with("HTTP/1.1 200 "));
+}
+
+// Guards against new clients that are refused for the sake of those that have stopped.
+BOOST_AUTO_TEST_CASE(a_request_without_progress_is_refused_before_a_new_one)
+{
+    std::deque<Client> first;
+    for (int number = 0; number < 3; ++number) {
+        first.emplace_back(this->port).send(postLarge + "x");
+        this->awaitBusy(static_cast<std::size_t>(number) + 1);
+    }
+    std::this_thread::sleep_for(stalledAfter + 100ms);
+    Client late(this->port);
+    late.send(postLarge + std::string(largeBody, 'y'));
+    BOOST_TEST(late.readUntil("|").starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(first.front().readAll().starts_with("HTTP/1.1 503 "));
+}
+
+BOOST_AUTO_TEST_CASE(chunked_bodies_count_as_they_grow)
+{
+    const std::string chunk = "4000\r\n" + std::string(0x4000, 'x') + "\r\n";
+    std::deque<Client> clients;
+    for (int number = 0; number < 4; ++number) {
+        clients.emplace_back(this->port).send("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    }
+    for (int pieces = 0; pieces < 4; ++pieces) {
+        for (const Client &client : clients) {
+            client.send(chunk);
+        }
+    }
+    clients.front().send("0\r\n\r\n");
+    BOOST_TEST(clients.front().readUntil("|").starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(this->refused > 0);
+    BOOST_TEST(this->keptBytes() <= 3 * largeBody + largeBody / 2);
+}
+
+// Guards against a bound on the bytes of a header, whose fields take many times as much memory.
+BOOST_AUTO_TEST_CASE(many_short_fields_count_for_the_memory_that_they_take)
+{
+    std::string head = "POST /a HTTP/1.1\r\nContent-Length: 2\r\n";
+    const std::size_t before = this->keptBytes();
+    for (int fields = 0; fields < 2000; ++fields) {
+        head += "a:\r\n";
+    }
+    Client client(this->port);
+    client.send(head + "\r\nx");
+    this->awaitBusy(1);
+    BOOST_TEST(this->keptBytes() - before >= std::size_t{2000} * 64);
+}
+
+BOOST_AUTO_TEST_CASE(requests_sent_ahead_are_all_answered)
 {
     constexpr int count = 2000;
     Client client(this->port);
@@ -394,7 +492,7 @@
 }
 
 // Guards against a client that is refused, goes on sending as fast as it can, and keeps the server busy.
-BOOST_FIXTURE_TEST_CASE(a_refused_client_that_sends_without_end_is_cut_off, PatientServer)
+BOOST_AUTO_TEST_CASE(a_refused_client_that_sends_without_end_is_cut_off)
 {
     Client client(this->port);
     client.send("POST /a HTTP/1.1\r\nContent-Length: 4000000000\r\n\r\n");
@@ -405,3 +503,5 @@
     }
     BOOST_TEST(!open);
 }
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/hickoryshore/result/result_code.cpp
+++ b/src/hickoryshore/result/result_code.cpp
@@ -127,6 +127,12 @@
      504,
      "The deadline passed before the request was sent to an upstream."},
     {ResultCode::ConnectFailed, "connectFailed", NotRun, Safe, 503, "No connection to the upstream could be opened."},
+    {ResultCode::RequestMemoryFull,
+     "requestMemoryFull",
+     NotRun,
+     Safe,
+     503,
+     "The VM's memory for callers' requests is in use; this one was not read whole."},
 
     {ResultCode::DeadlineExceeded,
      "deadlineExceeded",
--- a/tools/check_layers.sh
+++ b/tools/check_layers.sh
@@ -3,7 +3,7 @@
 # locks in them, since the same functions run in the daemon, the tests and the benchmarks.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-decisions=(base result ownership shard routes registry dispatch statesync query membership config ledger shutdown history)
+decisions=(base result ownership shard routes registry dispatch statesync clientlimits query membership config ledger shutdown history)
 forbidden='civetweb|zmq|<thread>|<mutex>|<condition_variable>|<atomic>|steady_clock|system_clock|hickoryshore/clock/|log4cplus|sys/socket'
 status=0
 for module in "${decisions[@]}"; do
