HTTP server: each address has a bound on its connections, from the VM's descriptors

What callers saw: clients that only opened connections took all descriptors of a VM; then neither callers nor replicas, the store and other VMs got one. Cause: max_fds of the settings was read nowhere, nothing bounded the connections, and accept() returned at any error, so that a listener without a free descriptor was woken again at once, for ever.

Ruled out: refusing new connections alone, since idle clients would then keep ordinary callers out for idle_timeout_ms.

For a new connection beyond the bound, chooseForRoom() names one to close: one that is being closed, the one that has been idle the longest, or a client without progress. If each has a request that makes progress or is in work, the new one is closed. Where the process has no descriptor all the same, a spare one is given up for a moment to accept and close the connection, so that the loop waits again. Counter connections_crowded_total, line connectionsCrowded, gauges for the addresses.

--- a/include/hickoryshore/clientlimits/client_choice.h
+++ b/include/hickoryshore/clientlimits/client_choice.h
@@ -1,4 +1,4 @@
-// Which connections of clients a server gives up when they take too much of its memory.
+// Which connections of clients a server gives up when it runs out of memory or of connections for them.
 //
 //     for (const std::uint64_t connection : chooseForBytes(uses, total - limit, now)) { refuse(connection); }
 #pragma once
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -43,4 +44,9 @@
 /// unread answers. A request in work is not given up, since a replica may run it.
 std::vector<std::uint64_t> chooseForBytes(std::span<const ClientUse> uses, std::size_t excess, Instant now);
 
+/// Returns the connection to close for a new one, or std::nullopt if each has a request that makes progress or is in
+/// work: one that is only being closed, the one that is idle the longest, or the client that has made no progress for
+/// the longest.
+std::optional<std::uint64_t> chooseForRoom(std::span<const ClientUse> uses, Instant now);
+
 } // namespace hickoryshore
--- a/include/hickoryshore/entry/entry_settings.h
+++ b/include/hickoryshore/entry/entry_settings.h
@@ -31,6 +31,7 @@
     int membershipPort = 0; ///< UDP port.
     int capacity = 0; ///< CPU, in thousandths of a core.
     std::size_t memoryBytes = std::size_t{128} * 1024 * 1024; ///< Memory that the process may use.
+    std::size_t maxSockets = 4096; ///< Sockets that the process may have open.
     std::vector<std::string> seeds; ///< IP addresses of some VMs. Unreachable ones are tolerated.
     Duration gracePeriod{std::chrono::seconds(6)}; ///< Time from SIGTERM until the process is killed.
     ExtraAttemptBudget extraAttempts;
--- a/include/hickoryshore/entry/entry_vm.h
+++ b/include/hickoryshore/entry/entry_vm.h
@@ -49,6 +49,7 @@
     void logMember(const MemberChangedAction &change) const;
     void recordCutAnswer(const HttpAnswerCut &cut);
     void recordRefusal(int status);
+    void recordCrowding(HttpCrowding crowding);
     void logClient(LogEvent event);
     void advanceShutdown();
     std::string metricsText() const;
--- a/include/hickoryshore/httpserver/http_listener.h
+++ b/include/hickoryshore/httpserver/http_listener.h
@@ -34,6 +34,9 @@
     Duration stalledTimeout{
         std::chrono::seconds(5)}; ///< An answer of which the client reads nothing for so long is cut.
 
+    /// Connections that are open at once. For another one, a connection without a request is closed.
+    std::size_t maxConnections = std::numeric_limits<std::size_t>::max();
+
     /// Memory, in bytes, that requests and unread answers of all connections take together. Beyond it, incomplete
     /// requests are refused with 503, and answers are cut; see chooseForBytes().
     std::size_t maxKeptBytes = std::numeric_limits<std::size_t>::max();
@@ -64,6 +67,13 @@
     Ending, ///< cutAnswers()
 };
 
+/// What became of a connection since there were too many.
+enum class HttpCrowding {
+    ClosedForOthers, ///< A connection without a request, or whose client made no progress, was closed.
+    Refused, ///< A new connection was closed at once.
+    NoDescriptors, ///< The same, since the process had no descriptor left.
+};
+
 /// An answer that was not sent whole.
 struct HttpAnswerCut
 {
@@ -85,6 +95,9 @@
 
     /// A connection was closed before an answer was sent whole.
     std::function<void(const HttpAnswerCut &)> onAnswerCut;
+
+    /// A connection was closed since there were too many.
+    std::function<void(HttpCrowding)> onCrowded;
 };
 
 /// One listening address and its connections.
@@ -147,6 +160,9 @@
     };
 
     void accept();
+    bool acceptOne();
+    bool refuseForDescriptors();
+    bool makeRoom();
     void onReady(Id id, Readiness readiness);
     void receive(Id id, Connection &connection);
     bool take(Id id, Connection &connection, std::string_view bytes);
@@ -162,6 +178,7 @@
     void close(Id id, bool clientLeft);
     void cut(Id id, HttpCutCause cause);
     void reportCut(const Connection &connection, HttpCutCause cause) const;
+    void reportCrowding(HttpCrowding crowding) const;
     void checkTimeouts();
     bool isStalled(Connection &connection, Instant now) const;
     static bool isBusy(const Connection &connection);
@@ -174,6 +191,7 @@
     HttpListenerSettings settings;
     HttpListenerHooks hooks;
     int descriptor = -1;
+    int spareDescriptor = -1; ///< Given up for a moment to refuse a connection when there is no other descriptor.
     std::unordered_map<Id, Connection> open;
     std::size_t keptTogether = 0; ///< Bytes, over all connections.
     std::unordered_map<HttpCallId, Id> calls;
--- a/include/hickoryshore/metrics/metrics.h
+++ b/include/hickoryshore/metrics/metrics.h
@@ -40,6 +40,7 @@
     ReplicaReportsSent, ///< To other VMs, of replicas that answer late or fail.
     ReplicaReportsHeard,
     AnswersCut, ///< Answers of which the client did not read all before its connection ended.
+    ConnectionsCrowded, ///< Connections that were closed or refused since there were too many.
     FramesSent,
     FramesReceived,
     BytesSent,
--- a/src/hickoryshore/clientlimits/client_choice.cpp
+++ b/src/hickoryshore/clientlimits/client_choice.cpp
@@ -25,6 +25,21 @@
     return {2, use.progressAt - now};
 }
 
+/// Returns the rank by which connections are closed for others, the lowest first, or std::nullopt if this one is not.
+std::optional<std::tuple<int, Duration>> rankForRoom(const ClientUse &use, Instant now)
+{
+    if (use.stage == ClientStage::Closing) {
+        return std::tuple(0, use.since - now);
+    }
+    if (use.stage == ClientStage::Idle) {
+        return std::tuple(1, use.since - now);
+    }
+    if (isStalled(use, now)) {
+        return std::tuple(2, use.progressAt - now);
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 std::vector<std::uint64_t> chooseForBytes(std::span<const ClientUse> uses, std::size_t excess, Instant now)
@@ -49,4 +64,20 @@
     return chosen;
 }
 
+std::optional<std::uint64_t> chooseForRoom(std::span<const ClientUse> uses, Instant now)
+{
+    std::optional<std::tuple<int, Duration, std::uint64_t>> best;
+    for (const ClientUse &use : uses) {
+        const auto rank = rankForRoom(use, now);
+        if (!rank.has_value()) {
+            continue;
+        }
+        const auto candidate = std::tuple_cat(*rank, std::tuple(use.connection));
+        if (!best.has_value() || candidate < *best) {
+            best = candidate;
+        }
+    }
+    return best.has_value() ? std::optional(std::get<std::uint64_t>(*best)) : std::nullopt;
+}
+
 } // namespace hickoryshore
--- a/src/hickoryshore/clientlimits/client_choice_test.cpp
+++ b/src/hickoryshore/clientlimits/client_choice_test.cpp
@@ -46,4 +46,30 @@
     BOOST_TEST(chooseForBytes(uses, large, now).empty());
 }
 
+BOOST_AUTO_TEST_CASE(idle_connections_make_room_before_stalled_requests)
+{
+    std::vector<ClientUse> uses
+        = {{.connection = 1, .stage = ClientStage::Work, .since = now - 9s, .progressAt = now - 9s},
+           {.connection = 2, .stage = ClientStage::Request, .since = now - 9s, .progressAt = now - 9s},
+           {.connection = 3, .stage = ClientStage::Idle, .since = now - 1s, .progressAt = now - 1s},
+           {.connection = 4, .stage = ClientStage::Idle, .since = now - 2s, .progressAt = now - 2s},
+           {.connection = 5, .stage = ClientStage::Closing, .since = now, .progressAt = now}};
+    std::vector<std::uint64_t> order;
+    while (const auto chosen = chooseForRoom(uses, now)) {
+        order.push_back(*chosen);
+        std::erase_if(uses, [&chosen](const ClientUse &use) {
+            return use.connection == *chosen;
+        });
+    }
+    BOOST_TEST(order == (std::vector<std::uint64_t>{5, 4, 3, 2}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(no_room_is_made_where_all_connections_are_at_work)
+{
+    const std::vector<ClientUse> uses
+        = {{.connection = 1, .stage = ClientStage::Work, .since = now - 9s, .progressAt = now - 9s},
+           {.connection = 2, .stage = ClientStage::Request, .since = now - 9s, .progressAt = now - 100ms}};
+    BOOST_TEST(!chooseForRoom(uses, now).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/hickoryshore/entry/entry_vm.cpp
+++ b/src/hickoryshore/entry/entry_vm.cpp
@@ -91,6 +91,19 @@
     return "";
 }
 
+std::string_view crowdingName(HttpCrowding crowding)
+{
+    switch (crowding) {
+    case HttpCrowding::ClosedForOthers:
+        return "closedForOthers";
+    case HttpCrowding::Refused:
+        return "refused";
+    case HttpCrowding::NoDescriptors:
+        return "noDescriptors";
+    }
+    return "";
+}
+
 std::uint64_t drawSeed()
 {
     std::random_device device;
@@ -116,16 +129,16 @@
       callers(loop, settings.callerListen, callerBounds(settings, CallerLimits{}), this->callerHooks()),
       entryPoints(loop,
                   settings.entryPointListen,
-                  bodilessBounds(settings, entryPointMemoryShare),
+                  bodilessBounds(settings, entryPointShare),
                   this->hooksFor(&EntryVm::answerEntryPoint)),
       readiness(loop,
                 settings.readinessListen,
-                bodilessBounds(settings, readinessMemoryShare),
+                bodilessBounds(settings, readinessShare),
                 this->hooksFor(&EntryVm::answerReadiness)),
       peers(loop, settings.peerListen, peerBounds(settings), this->peerHooks()),
       metricsListener(loop,
                       settings.metricsListen,
-                      bodilessBounds(settings, metricsMemoryShare),
+                      bodilessBounds(settings, metricsShare),
                       this->hooksFor(&EntryVm::answerMetrics)),
       requests(loop,
                this->settings,
@@ -218,6 +231,9 @@
     hooks.onAnswerCut = [this](const HttpAnswerCut &cut) {
         this->recordCutAnswer(cut);
     };
+    hooks.onCrowded = [this](HttpCrowding crowding) {
+        this->recordCrowding(crowding);
+    };
     return hooks;
 }
 
@@ -245,6 +261,15 @@
                                 {"unsentBytes", std::to_string(cut.unsentBytes)}}});
 }
 
+void EntryVm::recordCrowding(HttpCrowding crowding)
+{
+    this->metrics.count(Count::ConnectionsCrowded);
+    this->logClient({.level = LogLevel::Warn,
+                     .slice = slice,
+                     .event = "connectionsCrowded",
+                     .fields = {{"cause", std::string(crowdingName(crowding))}}});
+}
+
 /// Writes a line that a client can cause, unless there were too many in the last second.
 void EntryVm::logClient(LogEvent event)
 {
@@ -429,6 +454,9 @@
         Gauge{"caller_bytes_kept",
               "Memory of callers' requests and unread answers",
               static_cast<double>(this->callers.keptBytes())},
+        Gauge{
+            "entry_point_connections", "Open, for entry points", static_cast<double>(this->entryPoints.connections())},
+        Gauge{"peer_connections", "Open connections of other VMs", static_cast<double>(this->peers.connections())},
         Gauge{"peer_bytes_kept",
               "Memory of other VMs' requests and unread answers",
               static_cast<double>(this->peers.keptBytes())},
--- a/src/hickoryshore/httpserver/http_listener.cpp
+++ b/src/hickoryshore/httpserver/http_listener.cpp
@@ -134,6 +134,7 @@
       settings(settings),
       hooks(std::move(hooks)),
       descriptor(listenOn(address, settings.receiveBufferBytes)),
+      spareDescriptor(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)),
       received(readSize)
 {
     this->loop.watch(this->descriptor, [this] {
@@ -151,37 +152,51 @@
         ::close(connection.descriptor);
     }
     ::close(this->descriptor);
+    ::close(this->spareDescriptor);
 }
 
 void HttpListener::accept()
 {
-    while (true) {
-        const int accepted = accept4(this->descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (accepted < 0) {
-            return;
-        }
-        const int on = 1;
-        const auto timeoutMs = static_cast<unsigned>(ceilMilliseconds(this->settings.unacknowledgedTimeout));
-        setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-        setsockopt(accepted, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeoutMs, sizeof(timeoutMs));
-        const Id id = ++this->lastId;
-        std::uint64_t watch = 0;
-        try {
-            watch = this->loop.watchStream(accepted, [this, id](Readiness readiness) {
-                this->onReady(id, readiness);
-            });
-        } catch (const std::system_error &) {
-            ::close(accepted);
-            continue;
-        }
-        const Instant now = monotonicNow();
-        this->open.try_emplace(id,
-                               Connection{.descriptor = accepted,
-                                          .watch = watch,
-                                          .reader = HttpRequestReader(this->settings.limits),
-                                          .progressAt = now,
-                                          .since = now});
+    while (this->acceptOne()) { }
+}
+
+/// Takes one new connection. Returns whether more may be waiting.
+bool HttpListener::acceptOne()
+{
+    const int accepted = accept4(this->descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted < 0) {
+        const bool hasNone = errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM;
+        // A connection that its client has closed already is no reason to leave the others.
+        return hasNone ? this->refuseForDescriptors() : errno == EINTR || errno == ECONNABORTED;
+    }
+    if (this->open.size() >= this->settings.maxConnections && !this->makeRoom()) {
+        ::close(accepted);
+        this->reportCrowding(HttpCrowding::Refused);
+        return true;
     }
+    const int on = 1;
+    const auto timeoutMs = static_cast<unsigned>(ceilMilliseconds(this->settings.unacknowledgedTimeout));
+    setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(accepted, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeoutMs, sizeof(timeoutMs));
+    const Id id = ++this->lastId;
+    std::uint64_t watch = 0;
+    try {
+        watch = this->loop.watchStream(accepted, [this, id](Readiness readiness) {
+            this->onReady(id, readiness);
+        });
+    } catch (const std::system_error &) {
+        ::close(accepted);
+        this->reportCrowding(HttpCrowding::NoDescriptors);
+        return true;
+    }
+    const Instant now = monotonicNow();
+    this->open.try_emplace(id,
+                           Connection{.descriptor = accepted,
+                                      .watch = watch,
+                                      .reader = HttpRequestReader(this->settings.limits),
+                                      .progressAt = now,
+                                      .since = now});
+    return true;
 }
 
 void HttpListener::onReady(Id id, Readiness readiness)
--- a/src/hickoryshore/httpserver/http_listener_limits.cpp
+++ b/src/hickoryshore/httpserver/http_listener_limits.cpp
@@ -1,11 +1,14 @@
-// The part of HttpListener that bounds the time and the memory that clients take.
+// The part of HttpListener that bounds the time, the memory and the connections that clients take.
 #include "hickoryshore/httpserver/http_listener.h"
 
 #include "hickoryshore/clock/clock.h"
 
+#include <cerrno>
+
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace hickoryshore {
 
@@ -144,6 +147,43 @@
     }
 }
 
+/// Closes a connection so that a new one can be opened. Returns whether there was one to close.
+bool HttpListener::makeRoom()
+{
+    const std::optional<Id> chosen = chooseForRoom(this->uses(), monotonicNow());
+    if (chosen.has_value()) {
+        this->cut(*chosen, HttpCutCause::ClientStalled);
+        this->reportCrowding(HttpCrowding::ClosedForOthers);
+    }
+    return chosen.has_value();
+}
+
+/// Accepts a new connection though the process has no descriptor left, by closing another one or the new one. Returns
+/// whether more may be waiting.
+bool HttpListener::refuseForDescriptors()
+{
+    if (this->makeRoom()) {
+        return true;
+    }
+    // Without this, the listening socket would stay ready, and the loop would never wait.
+    ::close(this->spareDescriptor);
+    const int accepted = ::accept(this->descriptor, nullptr, nullptr);
+    const bool took = accepted >= 0;
+    if (took) {
+        ::close(accepted);
+        this->reportCrowding(HttpCrowding::NoDescriptors);
+    }
+    this->spareDescriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    return took;
+}
+
+void HttpListener::reportCrowding(HttpCrowding crowding) const
+{
+    if (this->hooks.onCrowded) {
+        this->hooks.onCrowded(crowding);
+    }
+}
+
 void HttpListener::setBounds(const HttpListenerSettings &changed)
 {
     this->settings = changed;
--- a/src/hickoryshore/httpserver/http_listener_test.cpp
+++ b/src/hickoryshore/httpserver/http_listener_test.cpp
@@ -13,6 +13,7 @@
 
 #include <arpa/inet.h>
 #include <poll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -43,7 +44,19 @@
 class Client
 {
 public:
+    /// Marks a client that connects with connectNow().
+    struct Later
+    { };
+
     explicit Client(int port)
+    {
+        this->connectNow(port);
+    }
+
+    explicit Client(Later /*later*/)
+    { }
+
+    void connectNow(int port) const
     {
         sockaddr_in address{};
         address.sin_family = AF_INET;
@@ -122,6 +135,7 @@
     std::atomic<int> requests = 0;
     std::atomic<int> left = 0;
     std::atomic<int> refused = 0;
+    std::atomic<int> crowded = 0;
     std::atomic<int> stalled = 0;
     std::atomic<int> cut = 0;
     HttpListener listener;
@@ -155,6 +169,10 @@
                         [this](const HttpAnswerCut &answer) {
                             this->cut += answer.label == "long" && answer.unsentBytes > 0 ? 1 : 0;
                             this->stalled += answer.cause == HttpCutCause::ClientStalled ? 1 : 0;
+                        },
+                    .onCrowded =
+                        [this](HttpCrowding) {
+                            ++this->crowded;
                         }}),
           thread([this] {
               this->loop.run();
@@ -196,13 +214,14 @@
 constexpr std::size_t largeBody = std::size_t{64} * 1024;
 const std::string postLarge = "POST /a HTTP/1.1\r\nContent-Length: " + std::to_string(largeBody) + "\r\n\r\n";
 
-/// A listener whose clients together may keep three large bodies.
+/// A listener whose clients together may keep three large bodies, and which has room for four connections.
 struct SmallServer : Server
 {
     SmallServer()
         : Server({.limits = {.bodyBytes = largeBody},
                   .requestTimeout = 60s,
                   .stalledTimeout = 60s,
+                  .maxConnections = 4,
                   .maxKeptBytes = 3 * largeBody + largeBody / 2})
     { }
 
@@ -223,6 +242,15 @@
     { }
 };
 
+/// Waits until the value is reached, for at most 5 s.
+void awaitValue(const std::atomic<int> &value, int wanted)
+{
+    for (int tries = 0; tries < 500 && value < wanted; ++tries) {
+        std::this_thread::sleep_for(10ms);
+    }
+    BOOST_TEST(value == wanted);
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(http_listener, Server)
@@ -491,6 +519,57 @@
     BOOST_TEST(std::count(answers.begin(), answers.end(), '|') == count);
 }
 
+// Guards against connections of idle clients that leave none for others.
+BOOST_AUTO_TEST_CASE(the_connection_that_is_idle_the_longest_makes_room_for_a_new_one)
+{
+    std::deque<Client> idle;
+    for (int number = 0; number < 4; ++number) {
+        idle.emplace_back(this->port).send(get);
+        idle.back().readUntil("/a|");
+    }
+    Client late(this->port);
+    late.send(get);
+    BOOST_TEST(late.readUntil("/a|").starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(idle.front().readAll().empty());
+    BOOST_TEST(this->crowded == 1);
+    idle.back().send(get);
+    BOOST_TEST(idle.back().readUntil("/a|").starts_with("HTTP/1.1 200 "));
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_is_refused_while_all_others_are_in_work)
+{
+    std::deque<Client> waiting;
+    for (int number = 0; number < 4; ++number) {
+        waiting.emplace_back(this->port).send("GET /wait HTTP/1.1\r\n\r\n");
+    }
+    awaitValue(this->requests, 4);
+    Client late(this->port);
+    BOOST_TEST(late.readAll().empty());
+    BOOST_TEST(this->crowded == 1);
+    BOOST_TEST(this->left == 0);
+}
+
+// Guards against a listener that is woken again and again for a connection that it has no descriptor to accept.
+BOOST_AUTO_TEST_CASE(a_connection_for_which_there_is_no_descriptor_is_refused)
+{
+    Client waiting(this->port);
+    waiting.send("GET /wait HTTP/1.1\r\n\r\n");
+    awaitValue(this->requests, 1);
+    const Client late{Client::Later()};
+    rlimit limit{};
+    BOOST_REQUIRE(getrlimit(RLIMIT_NOFILE, &limit) == 0);
+    const int next = dup(0);
+    close(next);
+    const rlimit none{.rlim_cur = static_cast<rlim_t>(next), .rlim_max = limit.rlim_max};
+    BOOST_REQUIRE(setrlimit(RLIMIT_NOFILE, &none) == 0);
+    late.connectNow(this->port);
+    awaitValue(this->crowded, 1);
+    BOOST_REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
+    Client served(this->port);
+    served.send(get);
+    BOOST_TEST(served.readUntil("/a|").starts_with("HTTP/1.1 200 "));
+}
+
 // Guards against a client that is refused, goes on sending as fast as it can, and keeps the server busy.
 BOOST_AUTO_TEST_CASE(a_refused_client_that_sends_without_end_is_cut_off)
 {
--- a/src/hickoryshore/metrics/metrics.cpp
+++ b/src/hickoryshore/metrics/metrics.cpp
@@ -45,6 +45,7 @@
     {Count::ReplicaReportsSent, "replica_reports_sent_total", "Reports on replicas that answer late or fail"},
     {Count::ReplicaReportsHeard, "replica_reports_heard_total", "Such reports of other VMs"},
     {Count::AnswersCut, "answers_cut_total", "Answers that were not sent whole before their connection ended"},
+    {Count::ConnectionsCrowded, "connections_crowded_total", "Connections closed or refused since there were too many"},
     {Count::FramesSent, "frames_sent_total", "Frames sent to other VMs"},
     {Count::FramesReceived, "frames_received_total", "Frames received from other VMs"},
     {Count::BytesSent, "frame_bytes_sent_total", "Bytes of frames sent to other VMs"},
