HTTP: a response with an impossible status is malformed

Cause here: the reader took every status below 200 for an interim response and went on to the next one, and bounded none above. So 000 cost the whole deadline (504), or what came behind it on the connection was taken for the answer (200); 600 was forwarded as it was; 600 from another VM counted as "not run".

Ruled out: the classification of responses, which sees only what the reader hands on.

Change: outside 100 to 599, and at 101, which nothing asks for, a response is malformed as soon as its header is read. As for any malformed response its connection is closed; the request may have run: 502 where it may run once, another replica where it may be repeated.

--- a/src/hickoryshore/entry/replica_faults_test.cpp
+++ b/src/hickoryshore/entry/replica_faults_test.cpp
@@ -440,4 +440,45 @@
     BOOST_TEST(statusOfBroken("HTTP/1.1 200 OK\r\nId: 1\r\nSign: s\r\nContent-Length: 9\r\n\r\n", true, "HEAD") == 200);
 }
 
+// Guards against a response of a replica in trouble that its caller gets as an answer, or waits for the deadline for.
+BOOST_AUTO_TEST_CASE(a_response_with_an_impossible_status_is_a_failure_and_its_connection_is_closed)
+{
+    for (const std::string status : {"000", "099", "101", "600"}) {
+        for (const bool withBody : {false, true}) {
+            RawEntry entry;
+            entry.serve(
+                [&entry, &status, withBody](int connection, const std::string &id) {
+                    const std::string head = "HTTP/1.1 " + status + " Status\r\nSign: s\r\nId: " + id + "\r\n";
+                    entry.replica->write(connection,
+                                         withBody ? head + "Content-Length: 2\r\n\r\nxx"
+                                                 + answerBytes(Framing::Length, id, "behind")
+                                                  : head + "\r\n");
+                },
+                false);
+            const auto answers = entry.callEach(2, 5ms, "POST");
+            BOOST_TEST_INFO(status << ", with a body " << withBody);
+            // It may have run; 504 would tell that the deadline was waited for.
+            BOOST_TEST(answers.front().status == 502);
+            BOOST_TEST(answers.back().status == 502);
+            BOOST_TEST(entry.replica->accepted == 2);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_met_an_impossible_status_is_retried_if_it_may_run_again)
+{
+    RawEntry entry;
+    entry.serve(
+        [&entry](int connection, const std::string &id) {
+            entry.replica->write(connection,
+                                 "HTTP/1.1 000 Status\r\nSign: s\r\nId: " + id + "\r\nContent-Length: 2\r\n\r\nxx");
+        },
+        true);
+    entry.addReplica("s", answering("good", "body"));
+    for (const UpstreamHttpResponse &answer : entry.callEach(4, 5ms, "GET")) {
+        BOOST_TEST(answer.status == 200);
+        BOOST_TEST(answer.body == "body");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/hickoryshore/entry/request_groups_test.cpp
+++ b/src/hickoryshore/entry/request_groups_test.cpp
@@ -208,6 +208,18 @@
     BOOST_TEST(this->ranShards.size() == 8U);
 }
 
+// Guards against an answer that no VM gives and that is taken for a refusal, after which the parts would run again.
+BOOST_AUTO_TEST_CASE(an_aggregator_that_answers_with_an_impossible_status_fails_at_once_and_may_have_run)
+{
+    this->peerStatus = 600;
+    this->serve(this->north, records("aa"));
+    const auto answers = this->answers(2);
+    // 504 would tell that the deadline was waited for, 503 that nothing ran.
+    BOOST_TEST(answers[0].status == 502);
+    BOOST_TEST(answers[1].status == 200);
+    BOOST_TEST(this->groupRequests == 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_frozen_aggregator_fails_only_one_request_and_its_parts_run_once)
 {
     this->silent = true;
--- a/src/hickoryshore/http1/http_exchange.cpp
+++ b/src/hickoryshore/http1/http_exchange.cpp
@@ -20,10 +20,20 @@
 
 constexpr unsigned httpVersion = 11;
 /// Interim responses (1xx) come before the final one.
+constexpr int firstInterimStatus = 100;
 constexpr int firstFinalStatus = 200;
+constexpr int lastFinalStatus = 599;
+/// Ends HTTP on the connection; no request asks for it.
+constexpr int statusSwitchingProtocols = 101;
 /// Before a final response; a server that sends more of them sends no answer.
 constexpr int mostInterimResponses = 8;
 
+/// Returns whether a response may have this status. RFC 9110, section 15, has a client treat any other one as invalid.
+bool isStatus(int status)
+{
+    return status >= firstInterimStatus && status <= lastFinalStatus && status != statusSwitchingProtocols;
+}
+
 boost::beast::string_view viewOf(std::string_view text)
 {
     return {text.data(), text.size()};
@@ -140,6 +150,9 @@
     boost::beast::error_code error;
     while (!bytes.empty() && !parser->is_done() && !error) {
         bytes.remove_prefix(parser->put(boost::asio::buffer(bytes.data(), bytes.size()), error));
+        if (parser->is_header_done() && !isStatus(static_cast<int>(parser->get().result_int()))) {
+            return Progress::Malformed;
+        }
         if (parser->is_done() && static_cast<int>(parser->get().result_int()) < firstFinalStatus) {
             if (++this->state->interim > mostInterimResponses) {
                 return Progress::Malformed;
--- a/src/hickoryshore/http1/http_exchange_test.cpp
+++ b/src/hickoryshore/http1/http_exchange_test.cpp
@@ -170,3 +170,24 @@
         BOOST_TEST((progressOf(head + "x") == Progress::Malformed));
     }
 }
+
+// Guards against a response that is no answer and is taken for one, or for an interim response before the answer.
+BOOST_AUTO_TEST_CASE(a_status_that_no_final_response_has_is_malformed)
+{
+    for (const char *status : {"000", "001", "099", "101", "600", "999"}) {
+        for (const std::string &rest : {std::string("\r\n"), "Content-Length: 5\r\n\r\nhello" + whole}) {
+            BOOST_TEST_INFO(status);
+            HttpResponseReader reader({.withoutLength = true, .excess = true});
+            const std::string head = std::string("HTTP/1.1 ") + status + " Status\r\n";
+            BOOST_TEST((reader.take(head + rest) == Progress::Malformed));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(interim_responses_before_the_answer_are_passed_over)
+{
+    HttpResponseReader reader;
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n";
+    BOOST_TEST((reader.take(interim + whole) == Progress::Complete));
+    BOOST_TEST(reader.release().status == 200);
+}
