--- a/src/hickoryshore/entry/replica_faults_test.cpp
+++ b/src/hickoryshore/entry/replica_faults_test.cpp
@@ -448,11 +448,11 @@
             RawEntry entry;
             entry.serve(
                 [&entry, &status, withBody](int connection, const std::string &id) {
-                    const std::string head = "HTTP/1.1 " + status + " Status\r\nSign: s\r\nId: " + id + "\r\n";
-                    entry.replica->write(connection,
-                                         withBody ? head + "Content-Length: 2\r\n\r\nxx"
-                                                 + answerBytes(Framing::Length, id, "behind")
-                                                  : head + "\r\n");
+                    std::string bytes = "HTTP/1.1 ";
+                    bytes.append(status).append(" Status\r\nSign: s\r\nId: ").append(id).append("\r\n");
+                    bytes.append(withBody ? "Content-Length: 2\r\n\r\nxx" : "\r\n");
+                    bytes.append(withBody ? answerBytes(Framing::Length, id, "behind") : "");
+                    entry.replica->write(connection, bytes);
                 },
                 false);
             const auto answers = entry.callEach(2, 5ms, "POST");
--- a/src/hickoryshore/httpserver/http_listener.cpp
+++ b/src/hickoryshore/httpserver/http_listener.cpp
@@ -482,38 +482,6 @@
     }
 }
 
-/// Reports an answer that has not been sent whole, if there is one.
-void HttpListener::reportCut(const Connection &connection, HttpCutCause cause) const
-{
-    const std::size_t unsent = connection.outgoing.size() - connection.sent;
-    if (unsent > 0 && this->hooks.onAnswerCut) {
-        this->hooks.onAnswerCut({.label = connection.label, .unsentBytes = unsent, .cause = cause});
-    }
-}
-
-/// Closes a connection whose answer has not been sent whole.
-void HttpListener::cut(Id id, HttpCutCause cause)
-{
-    Connection &connection = this->open.at(id);
-    this->reportCut(connection, cause);
-    connection.outgoing.clear();
-    connection.sent = 0;
-    this->close(id, true);
-}
-
-void HttpListener::cutAnswers()
-{
-    std::vector<Id> unsent;
-    for (const auto &[id, connection] : this->open) {
-        if (connection.sent < connection.outgoing.size()) {
-            unsent.push_back(id);
-        }
-    }
-    for (const Id id : unsent) {
-        this->cut(id, HttpCutCause::Ending);
-    }
-}
-
 void HttpListener::closeAfterAnswers()
 {
     this->ending = true;
