Review: case 11, another writer's draining entries end a service for good

Tried: all processes are killed, and while they start, copies of two replicas' entries that say draining and lack sequence stand under the replicas' ids. Seen: 0 of 594 requests are served from 12 s after the restart on, though the replicas write ready entries each 1.2 s (RECOVER); without these entries all are served.

--- a/review/stand_ins_3/fleet.cpp
+++ b/review/stand_ins_3/fleet.cpp
@@ -270,6 +270,11 @@
     return this->self;
 }
 
+std::int64_t Replica::startedAt() const
+{
+    return this->born;
+}
+
 void Replica::setHeard(bool heard)
 {
     const std::lock_guard lock(this->mutex);
--- a/review/stand_ins_3/fleet.h
+++ b/review/stand_ins_3/fleet.h
@@ -111,6 +111,9 @@
 
     const Identity &identity() const;
 
+    /// Returns the Unix millisecond of its start, which its entry has as `born`.
+    std::int64_t startedAt() const;
+
 private:
     void beat();
     void heartbeats();
