A VM sends parts for another VM only by its own configuration

Cause: a VM that is asked for a group of parts took the services from the request. Its own route was not asked, so replicas saw the asking VM's configuration from the asked VM's address. The other order breaks the rule, too: a VM that has shown the new shards sends parts to the old ones for a VM that is behind.

Ruled out: an older version that is put in force again (one configurationTaken a VM), and slow news alone (1.2 s of 3 s allowed). The asking VM can't decide it: the version that it knows of another VM is older by the way it travels.

Change: the asked VM finds its own route for the request's host and path, and refuses the group with 409 before anything is sent unless that route gathers all of the services. Contents decide, not versions, so changes that leave the shards alone cost nothing. The asking VM sends the parts itself at once, as first arrivals, and counts the request for the budget. A refusal is no failure of the VM: it gets no group of that route for 250 ms. Counters and log lines on both sides.

--- a/include/hickoryshore/dispatch/request_run.h
+++ b/include/hickoryshore/dispatch/request_run.h
@@ -71,6 +71,7 @@
     AttemptEnd end;
     int runs = 0; ///< How many replicas may have run it; set if it has no result.
     bool stillRunning = false; ///< A replica had not answered when the group's answer was due.
+    bool taken = true; ///< Whether the aggregator may have taken the group, and so counted the request for the budget.
 };
 
 /// Stops waiting for the attempt.
--- a/include/hickoryshore/entry/request_service.h
+++ b/include/hickoryshore/entry/request_service.h
@@ -26,7 +26,8 @@
 
 namespace hickoryshore::wire {
 class AggregateReply;
-}
+class AggregateRequest;
+} // namespace hickoryshore::wire
 
 namespace hickoryshore {
 
@@ -53,6 +54,9 @@
 
     /// Sends an answer to another VM; empty if other VMs send no requests.
     std::function<void(HttpCallId, const HttpAnswer &)> answerPeer;
+
+    /// Called when another VM has a newer configuration that changes what this VM does with a request; may be empty.
+    std::function<void(std::uint64_t version, const VmId &from)> onNewerConfiguration;
 };
 
 /// Identifies a request in flight, of a caller or of another VM.
@@ -118,6 +122,7 @@
     struct GroupCall
     {
         VmId vm;
+        RouteId route;
         Instant sentAt;
         Instant due;
     };
@@ -180,6 +185,13 @@
     RunSettings runSettings(const Route &route, Instant now, Duration remaining);
     std::vector<ActiveGroup> planGroups(RunSettings &run, Instant now, const ActiveRequest &started);
     std::shared_ptr<RouteLatency> latencyForPeer(const RouteId &route, Duration remaining);
+    const Route *routeOf(const HttpServerRequest &request) const;
+    const Route *routeOfHead(std::string_view head) const;
+    std::uint64_t configurationVersion() const;
+    void refuseAggregation(HttpCallId call, const wire::AggregateRequest &request);
+    void recordCallEnd(const GroupCall &call, int status, const AggregatorEnd &end);
+    void recordGroupRefusal(const GroupCall &call, std::string_view requestId, std::uint64_t memberVersion);
+    void recordPeerConfiguration(std::uint64_t version, const VmId &vm);
     std::shared_ptr<const Forwarding> forwardingOf(const HttpServerRequest &request) const;
     std::shared_ptr<RouteLatency> latencyOf(const Route &route);
     void eraseRemovedRoutes();
--- a/include/hickoryshore/metrics/metrics.h
+++ b/include/hickoryshore/metrics/metrics.h
@@ -36,7 +36,9 @@
     LateReplies, ///< Replies that nobody waited for any more.
     Groups, ///< Calls to other VMs for several parts at once.
     GroupFailures, ///< Such calls without an answer in time.
+    GroupsRefused, ///< Such calls refused by a VM whose configuration sends the request elsewhere.
     Aggregations, ///< Such calls that this VM served.
+    AggregationsRefused, ///< Such calls that this VM refused, since its configuration sends the request elsewhere.
     ReplicaReportsSent, ///< To other VMs, of replicas that answer late or fail.
     ReplicaReportsHeard,
     AnswersCut, ///< Answers of which the client did not read all before its connection ended.
--- a/include/hickoryshore/routes/route_table.h
+++ b/include/hickoryshore/routes/route_table.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -72,6 +73,10 @@
     CallerLimits callers;
 };
 
+/// Returns whether the requests of a route are sent to all of these services as shards; false if there is no route. A
+/// VM that sends a request of another VM where its own configuration doesn't would show replicas two configurations.
+bool gathersFrom(const Route *route, std::span<const ServiceId> services);
+
 /// Finds routes by host and path. Shares ownership of the table.
 class RouteIndex
 {
--- a/src/hickoryshore/dispatch/aggregator_table.cpp
+++ b/src/hickoryshore/dispatch/aggregator_table.cpp
@@ -30,13 +30,20 @@
     });
 }
 
-DataCentreSet AggregatorTable::dataCentres(Instant now) const
+DataCentreSet AggregatorTable::dataCentres(Instant now, const RouteId &route) const
 {
     DataCentreSet dataCentres = 0;
+    std::array<std::size_t, maxDataCentres> considered{};
     for (const AggregatorCandidate &candidate : this->candidates) {
-        if (!this->isAvoided(candidate.vm, now)) {
-            dataCentres |= dataCentreBit(candidate.dataCentreIndex);
+        const DataCentreSet bit = dataCentreBit(candidate.dataCentreIndex);
+        if (bit == 0 || (dataCentres & bit) != 0 || this->isAvoided(candidate.vm, now)) {
+            continue;
+        }
+        std::size_t &count = considered[static_cast<std::size_t>(candidate.dataCentreIndex)];
+        if (count < maxUsedPerDataCentre && !this->refuses(candidate.vm, now, route)) {
+            dataCentres |= bit;
         }
+        ++count;
     }
     return dataCentres;
 }
@@ -50,7 +57,9 @@
     return dataCentres;
 }
 
-std::optional<AggregatorCandidate> AggregatorTable::choose(Instant now, DataCentreIndex dataCentreIndex) const
+std::optional<AggregatorCandidate> AggregatorTable::choose(Instant now,
+                                                           DataCentreIndex dataCentreIndex,
+                                                           const RouteId &route) const
 {
     const AggregatorCandidate *best = nullptr;
     std::size_t minInFlight = 0;
@@ -60,7 +69,11 @@
             || this->isAvoided(candidate.vm, now)) {
             continue;
         }
+        // One that refuses isn't replaced by the next candidate, or each request would ask another VM in vain.
         ++considered;
+        if (this->refuses(candidate.vm, now, route)) {
+            continue;
+        }
         const auto found = this->states.find(candidate.vm);
         const std::size_t inFlight = found == this->states.end() ? 0 : found->second.due.size();
         if (best == nullptr || inFlight < minInFlight) {
@@ -82,6 +95,25 @@
     return overdue || state.avoidedUntil > now;
 }
 
+bool AggregatorTable::refuses(const VmId &vm, Instant now, const RouteId &route) const
+{
+    const auto found = this->states.find(vm);
+    if (found == this->states.end()) {
+        return false;
+    }
+    const auto refusal = found->second.refusesUntil.find(route);
+    return refusal != found->second.refusesUntil.end() && refusal->second > now;
+}
+
+void AggregatorTable::recordRefusal(Instant now, const VmId &vm, const RouteId &route)
+{
+    auto &refusals = this->states[vm].refusesUntil;
+    std::erase_if(refusals, [now](const auto &refusal) {
+        return refusal.second <= now;
+    });
+    refusals[route] = now + refusalPause;
+}
+
 void AggregatorTable::removeCall(const VmId &vm, Instant due)
 {
     std::multiset<Instant> &calls = this->states[vm].due;
@@ -103,6 +135,9 @@
         this->states[vm].avoidedUntil = now + failurePause;
         return;
     }
+    if (end.refusedRoute.has_value()) {
+        this->recordRefusal(now, vm, *end.refusedRoute);
+    }
     const auto found = std::ranges::find(this->candidates, vm, &AggregatorCandidate::vm);
     if (found == this->candidates.end() || dataCentreBit(found->dataCentreIndex) == 0) {
         return;
--- a/src/hickoryshore/dispatch/aggregator_table_test.cpp
+++ b/src/hickoryshore/dispatch/aggregator_table_test.cpp
@@ -82,6 +82,25 @@
     BOOST_TEST(table.choose(overdue + 1s, 1)->vm.value == "b");
 }
 
+BOOST_AUTO_TEST_CASE(a_vm_that_refused_a_route_serves_others_and_the_route_again_after_a_while)
+{
+    AggregatorTable table = threeVms();
+    const auto refuse = [&table](const char *vm) {
+        table.countSent({vm}, start + 50ms);
+        table.countEnd(
+            start, {vm}, start + 50ms, {.answered = true, .roundTripTime = 16ms, .refusedRoute = RouteId{"r"}});
+    };
+    refuse("a");
+    BOOST_TEST(table.choose(start, 1, {"r"})->vm.value == "b");
+    BOOST_TEST(table.choose(start, 1, {"other"})->vm.value == "a");
+    refuse("b");
+    // No third VM is asked, or each request would ask another one in vain.
+    BOOST_TEST(!table.choose(start, 1, {"r"}).has_value());
+    BOOST_TEST((table.dataCentres(start, {"r"}) == dataCentreBit(2)));
+    BOOST_TEST((table.dataCentres(start, {"other"}) == (dataCentreBit(1) | dataCentreBit(2))));
+    BOOST_TEST(table.choose(start + AggregatorTable::refusalPause, 1, {"r"})->vm.value == "a");
+}
+
 BOOST_AUTO_TEST_CASE(a_restarted_vm_is_avoided_until_it_is_warm)
 {
     AggregatorTable table = threeVms();
--- a/src/hickoryshore/dispatch/request_run.cpp
+++ b/src/hickoryshore/dispatch/request_run.cpp
@@ -308,6 +308,9 @@
     Part &part = this->parts[partIndex];
     attempt->live = false;
     attempt->runs = end.runs;
+    if (!end.taken) {
+        this->table->countRequest(now, this->settings.services[partIndex]);
+    }
     if (end.end.code == ResultCode::Ok && !end.stillRunning) {
         this->acceptResult(part, end.attempt, actions);
         return;
--- a/src/hickoryshore/dispatch/request_run_test.cpp
+++ b/src/hickoryshore/dispatch/request_run_test.cpp
@@ -416,6 +416,25 @@
     BOOST_TEST(this->take<SendAttempt>().size() == 3U);
 }
 
+// Guards against requests that no VM counts for the budget: their parts would get no second attempt.
+BOOST_FIXTURE_TEST_CASE(parts_of_a_refused_group_count_for_the_budget, GroupedFleet)
+{
+    RequestRun run = this->begin();
+    // Empties the budget, so that only counted requests fill it.
+    this->table.setExtraAttemptBudget({.ratio = 0.0, .slack = 0.0}, 1.0);
+    this->table.setExtraAttemptBudget({.ratio = 4.0, .slack = 100.0}, 1.0);
+    std::vector<GroupedEnd> ends = this->allOk();
+    for (GroupedEnd &end : ends) {
+        end.end = {.code = ResultCode::ConnectFailed, .sent = false};
+        end.taken = false;
+    }
+    run.onGroupEnd(start + 1ms, ends, this->actions);
+    const auto sent = this->take<SendAttempt>();
+    BOOST_REQUIRE(sent.size() == 3U);
+    run.onAttemptEnd(start + 5ms, sent.front().attempt, {.code = ResultCode::ConnectionLost}, false, this->actions);
+    BOOST_TEST(this->take<SendAttempt>().size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(parts_of_a_group_do_not_run_on_more_replicas_than_allowed, GroupedFleet)
 {
     RequestRun run = this->begin();
--- a/src/hickoryshore/entry/entry_vm.cpp
+++ b/src/hickoryshore/entry/entry_vm.cpp
@@ -164,6 +164,10 @@
                 .answerPeer =
                     [this](HttpCallId call, const HttpAnswer &answer) {
                         this->peers.answer(call, answer);
+                    },
+                .onNewerConfiguration =
+                    [this](std::uint64_t version, const VmId &from) {
+                        this->state.onPeerVersion(version, from);
                     }}),
       state(loop,
             this->protocol,
--- a/src/hickoryshore/entry/request_groups.cpp
+++ b/src/hickoryshore/entry/request_groups.cpp
@@ -21,6 +21,8 @@
 constexpr std::uint32_t messageVersion = 1;
 constexpr int statusOk = 200;
 constexpr int statusBadRequest = 400;
+/// The VM's configuration sends the request to other services; no part ran.
+constexpr int statusConflict = 409;
 constexpr int statusUnavailable = 503;
 /// VMs with less CPU than the fleet's maximum divided by this are not used as aggregators, since they would delay many
 /// parts at once.
@@ -90,7 +92,8 @@
         return groups;
     }
     const RouteLatency &latency = *started.latency;
-    DataCentreSet eligible = this->aggregators.dataCentres(now);
+    const RouteId &route = started.route->name;
+    DataCentreSet eligible = this->aggregators.dataCentres(now, route);
     for (DataCentreIndex dataCentreIndex = 0; dataCentreIndex < maxDataCentres; ++dataCentreIndex) {
         if ((eligible & dataCentreBit(dataCentreIndex)) != 0
             && !leavesTimeToHedge(latency, run.softDeadline - now, this->aggregators.roundTripTime(dataCentreIndex))) {
@@ -106,7 +109,7 @@
     }
     for (PartGroup &group :
          hickoryshore::planGroups(partDataCentres, eligible, this->aggregators.nearDataCentres(), this->random())) {
-        const auto aggregator = this->aggregators.choose(now, group.dataCentreIndex);
+        const auto aggregator = this->aggregators.choose(now, group.dataCentreIndex, route);
         if (aggregator.has_value()) {
             groups.push_back({.aggregator = *aggregator, .parts = group.parts});
             run.groupRoundTripTimes.push_back(this->aggregators.roundTripTime(group.dataCentreIndex));
@@ -134,6 +137,8 @@
     wire.set_top_records(static_cast<std::uint32_t>(request.route->topRecords));
     wire.set_needed(static_cast<std::uint32_t>(action.needed));
     wire.set_attempts(static_cast<std::uint32_t>(std::max(1, request.route->maximumAttempts)));
+    wire.set_configuration_version(request.table->version);
+    wire.set_vm(this->settings.vm.value);
     const Instant now = monotonicNow();
     const Duration replyTimeout
         = action.answerWithin + this->aggregators.roundTripTime(group.aggregator.dataCentreIndex);
@@ -141,10 +146,11 @@
     HttpExchange exchange;
     exchange.request = formatHttpRequest("POST", aggregatePath, group.aggregator.server, wire.SerializeAsString());
     exchange.timeout = action.remaining;
-    exchange.onEnd = [this, id, number = action.group, call = GroupCall{group.aggregator.vm, now, group.due}](
-                         const HttpExchangeEnd &end) {
-        this->onGroupEnd(id, number, end, call);
-    };
+    exchange.onEnd
+        = [this, id, number = action.group, call = GroupCall{group.aggregator.vm, request.route->name, now, group.due}](
+              const HttpExchangeEnd &end) {
+              this->onGroupEnd(id, number, end, call);
+          };
     request.attempts += static_cast<int>(group.parts.size());
     this->metrics.count(Count::Groups);
     this->aggregators.countSent(group.aggregator.vm, group.due);
@@ -156,24 +162,20 @@
     const Instant now = monotonicNow();
     wire::AggregateReply reply;
     const std::string &body = end.response.body;
-    const bool answered = !end.failure.has_value() && end.response.status == statusOk
-        && reply.ParseFromArray(body.data(), static_cast<int>(body.size()));
-    const Duration roundTripTime = now - call.sentAt - std::chrono::microseconds(reply.held_us());
-    this->aggregators.countEnd(now, call.vm, call.due, {.answered = answered, .roundTripTime = roundTripTime});
-    // An aggregator that has received too few parts delays its answer. This delay is not part of roundTripTime and
-    // doesn't count as lateness.
-    const bool late
-        = now > call.due + AggregatorTable::lateAnswerThreshold && roundTripTime > AggregatorTable::lateAnswerThreshold;
-    if (!answered || late) {
-        this->metrics.count(Count::GroupFailures);
-        writeLog({.level = LogLevel::Warn,
-                  .slice = slice,
-                  .event = answered ? "aggregatorLate" : "aggregatorFailed",
-                  .fields = {{"member", call.vm.value},
-                             {"status", std::to_string(end.response.status)},
-                             {"ageMs", std::to_string((now - call.sentAt) / 1ms)}}});
-    }
+    const bool readable = !end.failure.has_value() && reply.ParseFromArray(body.data(), static_cast<int>(body.size()));
+    const bool answered = readable && end.response.status == statusOk;
+    const bool refused = readable && end.response.status == statusConflict;
+    this->recordCallEnd(call,
+                        end.response.status,
+                        {.answered = answered || refused,
+                         .roundTripTime = now - call.sentAt - std::chrono::microseconds(reply.held_us()),
+                         .refusedRoute = refused ? std::optional(call.route) : std::nullopt});
     const auto waiting = this->active.find(id);
+    if (refused) {
+        const std::string_view requestId
+            = waiting == this->active.end() ? std::string_view() : waiting->second.forwarding->requestId;
+        this->recordGroupRefusal(call, requestId, reply.configuration_version());
+    }
     if (waiting == this->active.end()) {
         return;
     }
@@ -186,7 +188,7 @@
         const AttemptEnd failure = endOfCall(end);
         const int runs = failure.sent ? std::max(1, waiting->second.route->maximumAttempts) : 0;
         for (const AttemptId attempt : group.attempts) {
-            ends.push_back({.attempt = attempt, .end = failure, .runs = runs});
+            ends.push_back({.attempt = attempt, .end = failure, .runs = runs, .taken = failure.sent});
         }
     }
     std::vector<RunAction> actions;
@@ -194,6 +196,48 @@
     this->perform(id, actions);
 }
 
+/// Records how an aggregator answered, and logs it if it failed or was late.
+void RequestService::recordCallEnd(const GroupCall &call, int status, const AggregatorEnd &end)
+{
+    const Instant now = monotonicNow();
+    this->aggregators.countEnd(now, call.vm, call.due, end);
+    // An aggregator that has received too few parts delays its answer. This delay is not part of roundTripTime and
+    // doesn't count as lateness.
+    const bool late = now > call.due + AggregatorTable::lateAnswerThreshold
+        && end.roundTripTime > AggregatorTable::lateAnswerThreshold;
+    if (end.answered && !late) {
+        return;
+    }
+    this->metrics.count(Count::GroupFailures);
+    writeLog({.level = LogLevel::Warn,
+              .slice = slice,
+              .event = end.answered ? "aggregatorLate" : "aggregatorFailed",
+              .fields = {{"member", call.vm.value},
+                         {"status", std::to_string(status)},
+                         {"ageMs", std::to_string((now - call.sentAt) / 1ms)}}});
+}
+
+void RequestService::recordGroupRefusal(const GroupCall &call, std::string_view requestId, std::uint64_t memberVersion)
+{
+    this->metrics.count(Count::GroupsRefused);
+    writeLog({.slice = slice,
+              .event = "groupRefused",
+              .requestId = requestId,
+              .fields = {{"member", call.vm.value},
+                         {"route", call.route.value},
+                         {"version", std::to_string(this->configurationVersion())},
+                         {"memberVersion", std::to_string(memberVersion)}}});
+    this->recordPeerConfiguration(memberVersion, call.vm);
+}
+
+/// Passes on that another VM has this version, if it is newer than this VM's.
+void RequestService::recordPeerConfiguration(std::uint64_t version, const VmId &vm)
+{
+    if (version > this->configurationVersion() && !vm.value.empty() && this->hooks.onNewerConfiguration) {
+        this->hooks.onNewerConfiguration(version, vm);
+    }
+}
+
 std::vector<GroupedEnd> RequestService::readReply(ActiveGroup &group, const wire::AggregateReply &reply)
 {
     std::vector<GroupedEnd> ends;
@@ -221,6 +265,33 @@
     return found == this->latencies.end() ? std::make_shared<RouteLatency>(remaining) : found->second;
 }
 
+/// Returns the route that this VM's configuration has for a forwarded request, or nullptr if there is none.
+const Route *RequestService::routeOfHead(std::string_view head) const
+{
+    HttpRequestReader reader({.headerBytes = maxGroupedRequestBytes, .bodyBytes = 0});
+    const bool complete = reader.take(std::string(head).append("\r\n")) == HttpRequestReader::Progress::Complete;
+    return complete ? this->routeOf(reader.release()) : nullptr;
+}
+
+/// Refuses parts that this VM wouldn't send for its own callers: replicas would see requests of two configurations from
+/// it, whichever of the two VMs has the older one.
+void RequestService::refuseAggregation(HttpCallId call, const wire::AggregateRequest &request)
+{
+    this->metrics.count(Count::AggregationsRefused);
+    writeLog({.slice = slice,
+              .event = "aggregationRefused",
+              .requestId = request.request_id(),
+              .fields = {{"member", request.vm()},
+                         {"route", request.route()},
+                         {"version", std::to_string(this->configurationVersion())},
+                         {"memberVersion", std::to_string(request.configuration_version())}}});
+    wire::AggregateReply reply;
+    reply.set_configuration_version(this->configurationVersion());
+    this->hooks.answerPeer(
+        call, {.status = statusConflict, .body = reply.SerializeAsString(), .label = request.request_id()});
+    this->recordPeerConfiguration(request.configuration_version(), {request.vm()});
+}
+
 void RequestService::onAggregateRequest(HttpCallId call, const HttpServerRequest &request)
 {
     wire::AggregateRequest wire;
@@ -239,6 +310,10 @@
     for (const std::string &service : wire.services()) {
         route.shards.push_back({service});
     }
+    if (!gathersFrom(this->routeOfHead(wire.head()), route.shards)) {
+        this->refuseAggregation(call, wire);
+        return;
+    }
     RunSettings run{.services = route.shards,
                     .merged = true,
                     .idempotent = true,
--- a/src/hickoryshore/entry/request_groups_test.cpp
+++ b/src/hickoryshore/entry/request_groups_test.cpp
@@ -12,8 +12,7 @@
 
 constexpr int peerPort = 23701;
 constexpr int shardCount = 4;
-
-const std::string query = "GET /a HTTP/1.1\r\nHost: h\r\nId: 9\r\nLeft: 1500\r\n\r\n";
+constexpr std::uint64_t tableVersion = 2;
 
 /// An entry VM in the data centre "north" whose shards are all in "south", and a VM in "south".
 struct TwoVms : Entry
@@ -40,7 +39,12 @@
                           .answerPeer =
                               [this](HttpCallId call, const HttpAnswer &answer) {
                                   this->peers.answer(call, answer);
+                              },
+                          .onNewerConfiguration =
+                              [this](std::uint64_t version, const VmId &) {
+                                  this->newerVersions.push_back(version);
                               }}};
+    RequestService *asked = &south; ///< Serves the group requests.
     HttpListener peers{loop,
                        "127.0.0.1:" + std::to_string(peerPort),
                        {},
@@ -50,16 +54,19 @@
                                 if (this->peerStatus != 0) {
                                     this->peers.answer(call, {.status = this->peerStatus});
                                 } else if (!this->silent) {
-                                    this->south.onAggregateRequest(call, request);
+                                    this->asked->onAggregateRequest(call, request);
                                 }
                             },
                         .onClientLeft =
                             [this](HttpCallId call) {
-                                this->south.onPeerLeft(call);
+                                this->asked->onPeerLeft(call);
                             }}};
 
-    /// Registers the replicas at both VMs, and the other VM at the entry VM.
-    void serve(RequestService &entry, const Handler &handler)
+    /// Newer configurations that the VM in "south" was told of.
+    std::vector<std::uint64_t> newerVersions;
+
+    /// Returns a configuration whose only route goes to the shards with this prefix.
+    static std::shared_ptr<const RouteTable> tableOf(std::uint64_t version, const std::string &shardPrefix)
     {
         Route route{.name = {"r"},
                     .host = "h",
@@ -71,9 +78,15 @@
                     .topRecords = 3,
                     .minimumCoverage = 0.7};
         for (int shard = 0; shard < shardCount; ++shard) {
-            route.shards.push_back({"s" + std::to_string(shard)});
+            route.shards.push_back({shardPrefix + std::to_string(shard)});
         }
-        const auto table = std::make_shared<const RouteTable>(RouteTable{.version = 1, .routes = {route}});
+        return std::make_shared<const RouteTable>(RouteTable{.version = version, .routes = {route}});
+    }
+
+    /// Registers the replicas at both VMs, and the other VM at the entry VM.
+    void serve(RequestService &entry, const Handler &handler)
+    {
+        const auto table = tableOf(tableVersion, "s");
         for (int shard = 0; shard < shardCount; ++shard) {
             const std::string name = "s" + std::to_string(shard);
             this->addReplica(
@@ -136,22 +149,26 @@
                                         this->north.onClientLeft(call);
                                     }}};
 
+    std::string path = "/a"; ///< Of the requests that ask() sends.
+
     HttpExchangeId ask(std::function<void(const HttpExchangeEnd &)> onEnd)
     {
-        HttpExchange exchange{.request = query, .timeout = 5s};
+        HttpExchange exchange{.request = "GET " + this->path + " HTTP/1.1\r\nHost: h\r\nId: 9\r\nLeft: 1500\r\n\r\n",
+                              .timeout = 5s};
         exchange.onEnd = std::move(onEnd);
         return this->client->start("127.0.0.1:23702", std::move(exchange));
     }
 
-    /// Sends `count` requests one after the other, once the warm-up time of the aggregator has passed.
-    std::vector<UpstreamHttpResponse> answers(std::size_t count)
+    /// Sends `count` requests one after the other, with a pause in between, once the warm-up time of the aggregator has
+    /// passed.
+    std::vector<UpstreamHttpResponse> answers(std::size_t count, Duration pause = {})
     {
         std::vector<UpstreamHttpResponse> responses;
         std::function<void()> next = [&] {
             this->ask([&](const HttpExchangeEnd &end) {
                 responses.push_back(end.response);
                 if (responses.size() < count) {
-                    next();
+                    this->loop.after(pause, next);
                 } else {
                     this->loop.stop();
                 }
@@ -274,6 +291,87 @@
     BOOST_TEST(left == 0U);
 }
 
+// Guards against a VM that shows replicas a newer configuration for another VM than the one that it has itself.
+BOOST_AUTO_TEST_CASE(an_aggregator_sends_no_parts_by_a_newer_configuration_than_its_own)
+{
+    this->serve(this->north, records("aa"));
+    this->south.setRouteTable(tableOf(tableVersion - 1, "old"));
+    const UpstreamHttpResponse answer = this->answers(1).front();
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(headerOf(answer, "Missing") == "0");
+    BOOST_TEST(this->groupRequests == 1);
+    BOOST_TEST(this->metrics.value(Count::Aggregations) == 0U);
+    BOOST_TEST(this->metrics.value(Count::AggregationsRefused) == 1U);
+    BOOST_TEST(this->ranShards.size() == 4U);
+    BOOST_TEST(this->newerVersions == std::vector<std::uint64_t>{tableVersion}, boost::test_tools::per_element());
+}
+
+// Guards against a VM that goes back to an older configuration for another VM after it showed replicas a newer one.
+BOOST_AUTO_TEST_CASE(an_aggregator_sends_no_parts_by_an_older_configuration_than_its_own)
+{
+    this->serve(this->north, records("aa"));
+    this->south.setRouteTable(tableOf(tableVersion + 1, "new"));
+    const UpstreamHttpResponse answer = this->answers(1).front();
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(headerOf(answer, "Missing") == "0");
+    BOOST_TEST(this->groupRequests == 1);
+    BOOST_TEST(this->metrics.value(Count::Aggregations) == 0U);
+    BOOST_TEST(this->ranShards.size() == 4U);
+    BOOST_TEST(this->newerVersions.empty());
+}
+
+// Guards against a VM whose route of the name in the request exists but doesn't serve the request's path.
+BOOST_AUTO_TEST_CASE(an_aggregator_judges_by_the_route_that_its_own_callers_would_take)
+{
+    this->serve(this->north, records("aa"));
+    RouteTable divided = *tableOf(tableVersion + 1, "s");
+    divided.routes.push_back(tableOf(tableVersion + 1, "new")->routes.front());
+    divided.routes.back().name = {"r-a"};
+    divided.routes.back().pathPrefix = "/a/";
+    this->south.setRouteTable(std::make_shared<const RouteTable>(divided));
+    this->path = "/a/1";
+    BOOST_TEST(this->answers(1).front().status == 200);
+    BOOST_TEST(this->metrics.value(Count::Aggregations) == 0U);
+    BOOST_TEST(this->ranShards.size() == 4U);
+}
+
+// Guards against the end of all groups with each configuration: only the services of the route count.
+BOOST_AUTO_TEST_CASE(an_aggregator_with_another_version_of_the_same_shards_serves_the_parts)
+{
+    this->serve(this->north, records("aa"));
+    this->south.setRouteTable(tableOf(tableVersion - 1, "s"));
+    BOOST_TEST(this->answers(1).front().status == 200);
+    BOOST_TEST(this->metrics.value(Count::Aggregations) == 1U);
+    BOOST_TEST(this->metrics.value(Count::AggregationsRefused) == 0U);
+}
+
+// Guards against a VM that counts as failed since its configuration differed for a moment.
+BOOST_AUTO_TEST_CASE(an_aggregator_is_used_again_soon_after_it_refused)
+{
+    this->serve(this->north, records("aa"));
+    this->south.setRouteTable(tableOf(tableVersion - 1, "old"));
+    this->loop.after(AggregatorTable::warmUp + AggregatorTable::refusalPause / 2, [this] {
+        this->south.setRouteTable(tableOf(tableVersion, "s"));
+    });
+    const auto answers = this->answers(2, AggregatorTable::refusalPause + 50ms);
+    BOOST_TEST(answers[1].status == 200);
+    BOOST_TEST(this->groupRequests == 2);
+    BOOST_TEST(this->metrics.value(Count::Aggregations) == 1U);
+    BOOST_TEST(this->metrics.value(Count::GroupFailures) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_vm_without_a_configuration_serves_no_parts)
+{
+    this->serve(this->north, records("aa"));
+    RequestService empty{
+        loop, southSettings, protocol, metrics, 3, {.answerPeer = [this](HttpCallId call, const HttpAnswer &answer) {
+            this->peers.answer(call, answer);
+        }}};
+    this->asked = &empty;
+    BOOST_TEST(this->answers(1).front().status == 200);
+    BOOST_TEST(this->metrics.value(Count::Aggregations) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_malformed_aggregate_request_is_refused)
 {
     this->serve(this->north, records("aa"));
--- a/src/hickoryshore/entry/request_service.cpp
+++ b/src/hickoryshore/entry/request_service.cpp
@@ -190,11 +190,23 @@
     return std::nullopt;
 }
 
+/// Returns the route of a request by this VM's configuration, or nullptr if there is none.
+const Route *RequestService::routeOf(const HttpServerRequest &request) const
+{
+    const auto host = findHeader(request.headers, "Host").value_or("");
+    return this->routes.has_value() ? this->routes->find(host, pathOf(request.target)) : nullptr;
+}
+
+/// Returns the version of the configuration in force, or zero if there is none.
+std::uint64_t RequestService::configurationVersion() const
+{
+    return this->routeTable == nullptr ? 0 : this->routeTable->version;
+}
+
 void RequestService::onRequest(HttpCallId call, const HttpServerRequest &request)
 {
     this->metrics.count(Count::Queries);
-    const auto host = findHeader(request.headers, "Host").value_or("");
-    const Route *route = this->routes.has_value() ? this->routes->find(host, pathOf(request.target)) : nullptr;
+    const Route *route = this->routeOf(request);
     if (const auto code = this->refusalCode(route, request)) {
         this->refuse(call, request, *code);
     } else {
@@ -213,7 +225,7 @@
               .resultCode = code,
               .fields = {{"host", std::string(findHeader(request.headers, "Host").value_or(""))},
                          {"path", std::string(pathOf(request.target))},
-                         {"version", std::to_string(this->routes.has_value() ? this->routes->table().version : 0)}}});
+                         {"version", std::to_string(this->configurationVersion())}}});
     const Duration retryAfter = code == ResultCode::Leaving ? retryAfterAtOtherVm : this->hooks.retryAfter();
     HttpAnswer refusal = this->refusalAnswer(id, code, retryAfter);
     refusal.label = id;
--- a/src/hickoryshore/routes/route_table.cpp
+++ b/src/hickoryshore/routes/route_table.cpp
@@ -19,6 +19,27 @@
 
 } // namespace
 
+bool gathersFrom(const Route *route, std::span<const ServiceId> services)
+{
+    if (route == nullptr) {
+        return false;
+    }
+    // The services usually come in the order of the shards, so each search starts where the one before ended.
+    auto next = route->shards.begin();
+    return std::ranges::all_of(services, [route, &next](const ServiceId &service) {
+        const auto end = route->shards.end();
+        auto found = std::find(next, end, service);
+        if (found == end) {
+            found = std::find(route->shards.begin(), next, service);
+            if (found == next) {
+                return false;
+            }
+        }
+        next = std::next(found);
+        return true;
+    });
+}
+
 RouteIndex::RouteIndex(std::shared_ptr<const RouteTable> table) : routes(std::move(table))
 {
     for (const Route &route : this->routes->routes) {
--- a/src/hickoryshore/routes/route_table_test.cpp
+++ b/src/hickoryshore/routes/route_table_test.cpp
@@ -36,6 +36,25 @@
     BOOST_TEST((index.find("other", "/a/") == nullptr));
 }
 
+// Guards against a VM that sends another VM's parts to services that its own requests of the route don't go to.
+BOOST_AUTO_TEST_CASE(a_route_gathers_only_from_its_own_shards)
+{
+    Route gathering = route("a", "h", "/");
+    gathering.shards = {{"s0"}, {"s1"}, {"s2"}};
+    const auto gathers = [&gathering](const std::vector<ServiceId> &services) {
+        return gathersFrom(&gathering, services);
+    };
+    BOOST_TEST(gathers({{"s0"}, {"s1"}, {"s2"}}));
+    BOOST_TEST(gathers({{"s2"}, {"s0"}}));
+    BOOST_TEST(gathers({{"s1"}}));
+    BOOST_TEST(!gathers({{"s0"}, {"s3"}}));
+    BOOST_TEST(!gathers({{"new"}}));
+    BOOST_TEST(!gathersFrom(nullptr, std::vector<ServiceId>{{"s0"}}));
+    Route single = route("b", "h", "/");
+    single.split = {{.service = {"s0"}}};
+    BOOST_TEST(!gathersFrom(&single, std::vector<ServiceId>{{"s0"}}));
+}
+
 BOOST_AUTO_TEST_CASE(host_case_and_port_are_ignored)
 {
     const RouteIndex index = indexOf({route("a", "h.example", "/a/")});
