Connections to replicas come from the VM's own address

All connections of VMs on one machine came from 127.0.0.1, and the kernel gives one local port to connections of several processes to different replicas. On machines of their own, VMs are told apart by their address.

Change: the connections to replicas are bound to the address in the settings, with the port left to the kernel until the connection opens; a machine that doesn't have the address is logged once (addressNotOwn) and connects as before. The pool's settings hold a string now, so they are moved or passed by reference.

--- a/include/hickoryshore/upstream/http_connections.h
+++ b/include/hickoryshore/upstream/http_connections.h
@@ -23,12 +23,16 @@
 
 namespace hickoryshore {
 
+/// Returns whether this machine has an IPv4 address.
+bool isOwnAddress(const std::string &address);
+
 /// Bounds of the connections of one pool.
 struct HttpConnectionSettings
 {
     int connectionsPerServer = 6; ///< Upper bound for each server until setLimit() sets another.
     Duration idleLimit{std::chrono::seconds(20)}; ///< An idle connection is closed after this time.
     Duration provenFor{std::chrono::milliseconds(500)}; ///< A connection is proven alive this long after a reply.
+    std::string sourceAddress; ///< IPv4 address that connections come from, where it is this machine's; empty: any.
     bool warmSpare = false; ///< One connection more is opened when the last idle one is taken into use.
     Duration keepAliveProbe{0}; ///< Interval of TCP keep-alive probes; zero sends none.
     HttpResponseRules responses;
--- a/include/hickoryshore/upstream/upstream_pool.h
+++ b/include/hickoryshore/upstream/upstream_pool.h
@@ -32,10 +32,10 @@
 {
 public:
     /// A pool on the thread of this loop, where all but counts() must be called. It must end there or after the loop.
-    UpstreamPool(EventLoop &loop, UpstreamPoolSettings settings);
+    UpstreamPool(EventLoop &loop, const UpstreamPoolSettings &settings);
 
     /// A pool with a loop and a thread of its own; its functions may be called from any thread.
-    explicit UpstreamPool(UpstreamPoolSettings settings);
+    explicit UpstreamPool(const UpstreamPoolSettings &settings);
 
     /// Closes all connections; calls in flight are not completed.
     ~UpstreamPool();
--- a/src/hickoryshore/entry/request_service.cpp
+++ b/src/hickoryshore/entry/request_service.cpp
@@ -39,9 +39,20 @@
 constexpr std::size_t lengthFieldBytes = 48;
 constexpr std::string_view slice = "entry";
 
-HttpConnectionSettings connectionSettings(std::size_t memoryBytes)
-{
+/// Returns the settings of the connections to replicas. They come from the VM's address, so that replicas can tell VMs
+/// on one machine apart.
+HttpConnectionSettings connectionSettings(const EntrySettings &settings)
+{
+    const std::size_t memoryBytes = settings.memoryBytes;
+    if (!settings.address.empty() && !isOwnAddress(settings.address)) {
+        writeLog({.level = LogLevel::Warn,
+                  .slice = slice,
+                  .event = "addressNotOwn",
+                  .detail = "connections to replicas come from another address",
+                  .fields = {{"address", settings.address}}});
+    }
     return {
+        .sourceAddress = settings.address,
         .responses
         = {.withoutLength = true, .excess = true, .keepHeaders = true, .bodyBytes = memoryBytes / answerMemoryDivisor},
         .bytesTogether = memoryBytes / totalMemoryDivisor};
@@ -92,7 +103,7 @@
       hooks(std::move(hooks)),
       table(seed),
       split(seed),
-      upstream(std::make_shared<HttpConnections>(loop, connectionSettings(settings.memoryBytes))),
+      upstream(std::make_shared<HttpConnections>(loop, connectionSettings(settings))),
       peers(std::make_shared<HttpConnections>(loop, peerConnectionSettings(settings.memoryBytes))),
       ownHash(XXH3_64bits(settings.vm.value.data(), settings.vm.value.size())),
       random(seededGenerator(seed))
--- a/src/hickoryshore/entry/request_service_test.cpp
+++ b/src/hickoryshore/entry/request_service_test.cpp
@@ -3,6 +3,8 @@
 
 #include "entry_fixture.h"
 
+#include <algorithm>
+
 using namespace hickoryshore;
 using namespace hickoryshore::test;
 using namespace std::chrono_literals;
@@ -51,6 +53,38 @@
     BOOST_TEST(this->call(get).status == 404);
 }
 
+// Guards against VMs on one machine that a replica can't tell apart.
+BOOST_AUTO_TEST_CASE(connections_come_from_the_address_in_the_settings_if_the_machine_has_it)
+{
+    std::vector<std::string> seen;
+    this->addReplica("s", [&seen](HttpListener &listener, HttpCallId call, const HttpServerRequest &) {
+        seen.push_back(listener.clientAddress(call));
+        listener.answer(call, {});
+    });
+    std::vector<std::shared_ptr<HttpConnections>> pools;
+    for (const char *source : {"127.0.0.9", "192.0.2.1", ""}) {
+        pools.push_back(std::make_shared<HttpConnections>(loop, HttpConnectionSettings{.sourceAddress = source}));
+    }
+    std::size_t ended = 0;
+    this->loop.post([this, &pools, &ended] {
+        for (const auto &pool : pools) {
+            HttpExchange exchange{.request = get, .timeout = 2s};
+            exchange.onEnd = [this, &pools, &ended](const HttpExchangeEnd &) {
+                if (++ended == pools.size()) {
+                    this->loop.stop();
+                }
+            };
+            pool->start("127.0.0.1:" + std::to_string(firstPort), std::move(exchange));
+        }
+    });
+    this->run();
+    std::ranges::sort(seen);
+    const std::vector<std::string> expected{"127.0.0.1", "127.0.0.1", "127.0.0.9"};
+    BOOST_TEST(seen == expected, boost::test_tools::per_element());
+    BOOST_TEST(isOwnAddress("127.0.0.9"));
+    BOOST_TEST(!isOwnAddress("192.0.2.1"));
+}
+
 BOOST_AUTO_TEST_CASE(request_and_answer_are_forwarded_unchanged)
 {
     HttpServerRequest seen;
--- a/src/hickoryshore/upstream/client_socket.cpp
+++ b/src/hickoryshore/upstream/client_socket.cpp
@@ -9,6 +9,7 @@
 #include <stdexcept>
 #include <string>
 
+#include <arpa/inet.h>
 #include <netdb.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -22,9 +23,34 @@
 /// Probes without an answer after which a connection counts as lost.
 constexpr int unansweredProbes = 2;
 
+/// Makes the connection come from this IPv4 address, with a port that is chosen as it opens. Returns false if the
+/// machine doesn't have the address.
+bool bindTo(int descriptor, const std::string &source)
+{
+    sockaddr_in from{};
+    from.sin_family = AF_INET;
+    if (inet_pton(AF_INET, source.c_str(), &from.sin_addr) != 1) {
+        return false;
+    }
+    const int on = 1;
+    setsockopt(descriptor, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &on, sizeof(on));
+    return bind(descriptor, reinterpret_cast<const sockaddr *>(&from), sizeof(from)) == 0;
+}
+
 } // namespace
 
-int startConnecting(std::string_view address)
+bool isOwnAddress(const std::string &address)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (descriptor < 0) {
+        return false;
+    }
+    const bool bound = bindTo(descriptor, address);
+    ::close(descriptor);
+    return bound;
+}
+
+int startConnecting(std::string_view address, const std::string &source)
 {
     HostPort target;
     try {
@@ -47,6 +73,9 @@
     // A request is written at once, so that there is nothing to gather.
     const int on = 1;
     setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    if (!source.empty()) {
+        bindTo(descriptor, source);
+    }
     if (connect(descriptor, found->ai_addr, found->ai_addrlen) != 0 && errno != EINPROGRESS) {
         ::close(descriptor);
         return -1;
--- a/src/hickoryshore/upstream/http_connections.cpp
+++ b/src/hickoryshore/upstream/http_connections.cpp
@@ -32,7 +32,7 @@
 } // namespace
 
 HttpConnections::HttpConnections(EventLoop &loop, HttpConnectionSettings settings)
-    : loop(loop), settings(settings), received(readSize)
+    : loop(loop), settings(std::move(settings)), received(readSize)
 { }
 
 HttpConnections::~HttpConnections()
@@ -213,7 +213,7 @@
     if (server.open >= server.limit) {
         return std::nullopt;
     }
-    const int descriptor = startConnecting(server.name);
+    const int descriptor = startConnecting(server.name, this->settings.sourceAddress);
     if (descriptor < 0) {
         ++this->counters.failedToOpen;
         return std::nullopt;
--- a/src/hickoryshore/upstream/upstream_pool.cpp
+++ b/src/hickoryshore/upstream/upstream_pool.cpp
@@ -73,11 +73,11 @@
     std::thread thread;
 };
 
-UpstreamPool::UpstreamPool(EventLoop &loop, UpstreamPoolSettings settings)
+UpstreamPool::UpstreamPool(EventLoop &loop, const UpstreamPoolSettings &settings)
     : connections(std::make_shared<HttpConnections>(loop, settings))
 { }
 
-UpstreamPool::UpstreamPool(UpstreamPoolSettings settings)
+UpstreamPool::UpstreamPool(const UpstreamPoolSettings &settings)
     : ownLoop(std::make_unique<OwnLoop>()),
       connections(std::make_shared<HttpConnections>(this->ownLoop->loop, settings))
 {
