--- a/src/hickoryshore/dispatch/request_run_test.cpp
+++ b/src/hickoryshore/dispatch/request_run_test.cpp
@@ -420,9 +420,11 @@
 BOOST_FIXTURE_TEST_CASE(parts_of_a_refused_group_count_for_the_budget, GroupedFleet)
 {
     RequestRun run = this->begin();
-    // Empties the budget, so that only counted requests fill it.
-    this->table.setExtraAttemptBudget({.ratio = 0.0, .slack = 0.0}, 1.0);
+    // Spends the budget, so that the next extra attempt needs a request that is counted.
     this->table.setExtraAttemptBudget({.ratio = 4.0, .slack = 100.0}, 1.0);
+    for (const char *service : {"1", "2", "3"}) {
+        while (this->table.takeExtraAttempt(start, {service}, false)) { }
+    }
     std::vector<GroupedEnd> ends = this->allOk();
     for (GroupedEnd &end : ends) {
         end.end = {.code = ResultCode::ConnectFailed, .sent = false};
